--- /dev/null
+++ b/shedgrade/__init__.py
@@ -0,0 +1,1 @@
+"""A sidecar load balancer: zone-aware rotation with named guards. The decisions are in `decide`."""
--- /dev/null
+++ b/shedgrade/benchlink/wire.py
@@ -0,0 +1,283 @@
+"""The batch protocol on a pair of byte streams."""
+from math import ceil, floor, inf
+from typing import BinaryIO
+
+import orjson
+
+from shedgrade import decide
+from shedgrade.decide import Balancer, Rpc
+
+STATES = {"U": decide.READY, "L": decide.DRAINING, "D": decide.REMOVED}
+OUTCOMES = {"S": decide.COMPLETED, "E": decide.FAILED, "F": decide.TURNED_AWAY, "T": decide.TIMED_OUT,
+            "C": decide.UNCONNECTED, "R": decide.DROPPED, "X": decide.STOPPED, "N": decide.UNSENT}
+NUMBER = (int, float)
+SIDECAR = ("sidecar_id", (int,))
+# The fields each message must carry; all others are optional and unknown ones are skipped.
+REQUIRED = {
+    "batch": (("now", NUMBER), ("seq", (int,))),
+    "commit": (),
+    "register": (("set_id", (int,)), ("rows", (list,))),
+    "power_on": (SIDECAR, ("prng", (int,)), ("conf", (dict,))),
+    "discovery": (SIDECAR, ("kind", (str,))),
+    "submit": (SIDECAR, ("txn", (int,)), ("not_after", NUMBER)),
+    "answer": (SIDECAR, ("txn", (int,)), ("how", (str,))),
+    "alarm": (SIDECAR,),
+    "abandoned": (SIDECAR, ("txn", (int,))),
+    "teardown": (SIDECAR,),
+    "accepted": (SIDECAR, ("txn", (int,))),
+    "echo": (SIDECAR, ("upstream", (str,)), ("how", (str,))),
+    "inbox": (SIDECAR,),
+}
+ROW = (("upstream", (str,)),)
+
+
+class BadInput(Exception):
+    """A line that is not of this protocol: tells the line, the field and the reason."""
+
+    def __init__(self, field: str, reason: str) -> None:
+        self.line, self.field, self.reason = 0, field, reason
+
+    def __str__(self) -> str:
+        return f"line {self.line}: {self.field}: {self.reason}"
+
+
+class DecisionFault(Exception):
+    """The decisions failed; the text goes out as the wire's `fault`."""
+
+
+def check(message: dict, fields: tuple, where: str = "") -> None:
+    for name, types in fields:
+        if name not in message:
+            raise BadInput(where + name, "missing")
+        if type(message[name]) not in types:
+            raise BadInput(where + name, f"is of type {type(message[name]).__name__}")
+
+
+def optional(message: dict, name: str, types: tuple, default):
+    value = message.get(name)
+    if value is None:
+        return default
+    if type(value) not in types:
+        raise BadInput(name, f"is of type {type(value).__name__}")
+    return value
+
+
+def index_below(message: dict, name: str, size: int) -> int:
+    value = optional(message, name, (int,), 0)
+    if not 0 <= value < size:
+        raise BadInput(name, f"{value} is outside the settings' list of {size}")
+    return value
+
+
+def tenths(ms: float) -> int:
+    return round(ms * 10)
+
+
+class Instance:
+    """One sidecar on the wire: its balancer, its upstreams' indices, and the RPCs that are still of interest."""
+
+    def __init__(self, number: int, event: dict, now: int) -> None:
+        self.number = number
+        try:
+            self.balancer = Balancer(event["conf"], event["prng"], now)
+            self.methods, self.zones = len(event["conf"]["methods"]), len(event["conf"]["zones"])
+        except KeyError as missing:
+            raise BadInput("conf", f"setting {missing} is missing") from missing
+        except (TypeError, ValueError, IndexError, AttributeError) as wrong:
+            raise BadInput("conf", f"a setting has the wrong form: {wrong}") from wrong
+        self.indices: dict[str, int] = {}
+        self.quoted: list[str] = []
+        self.rpcs: dict[int, Rpc] = {}
+        self.armed = inf
+
+    def upstream(self, address: str) -> int:
+        index = self.indices.get(address)
+        if index is None:
+            index = self.indices[address] = len(self.quoted)
+            self.quoted.append(orjson.dumps(address).decode())
+        return index
+
+    def rpc(self, event: dict) -> Rpc:
+        rpc = self.rpcs.get(event["txn"])
+        if rpc is None:
+            raise BadInput("txn", f"{event['txn']} was never submitted to sidecar {self.number}")
+        return rpc
+
+    # --- events
+
+    def discovery(self, event: dict, now: int, lists: dict, out: list) -> None:
+        kind = event["kind"]
+        if kind == "X":
+            self.balancer.list_failed(now)
+            return
+        if kind not in ("D", "F", "C"):
+            raise BadInput("kind", f"{kind!r} is unknown")
+        set_id = optional(event, "set_id", (int,), 0)
+        if set_id not in lists:
+            raise BadInput("set_id", f"no list was registered as {set_id}")
+        rows = []
+        for row in lists[set_id]:
+            state = STATES.get(row.get("phase", "U"))
+            if state is None:
+                raise BadInput("rows.phase", f"{row['phase']!r} is unknown")
+            rows.append((self.upstream(row["upstream"]), index_below(row, "locality", self.zones), state,
+                         tenths(optional(row, "start_time", NUMBER, 0)), optional(row, "stripe", (int,), 0)))
+        self.balancer.list_changed(now, rows, kind != "D", kind != "C")
+
+    def submit(self, event: dict, now: int, lists: dict, out: list) -> None:
+        txn = event["txn"]
+        if txn in self.rpcs:
+            raise BadInput("txn", f"{txn} was submitted before")
+        rpc = self.rpcs[txn] = self.balancer.take(
+            now, index_below(event, "profile", self.methods), floor(event["not_after"] * 10), txn)
+        self.answer_for(rpc, now, out)
+
+    def answer(self, event: dict, now: int, lists: dict, out: list) -> None:
+        rpc, tx, outcome = self.rpc(event), optional(event, "copy", (int,), 0), OUTCOMES.get(event["how"])
+        if outcome is None:
+            raise BadInput("how", f"{event['how']!r} is unknown")
+        if tx not in rpc.out:
+            raise BadInput("copy", f"transmission {tx} of {rpc.tag} is not out")
+        self.stop(rpc, rpc.ended(now, tx, outcome, tenths(optional(event, "duration", NUMBER, 0)),
+                                 event.get("settled") is True), out)
+        self.answer_for(rpc, now, out)
+
+    def abandoned(self, event: dict, now: int, lists: dict, out: list) -> None:
+        rpc = self.rpcs.get(event["txn"])
+        if rpc is not None:
+            self.stop(rpc, rpc.gone(now), out)
+            self.answer_for(rpc, now, out)
+
+    def alarm(self, event: dict, now: int, lists: dict, out: list) -> None:
+        self.armed = inf
+
+    def ignore(self, event: dict, now: int, lists: dict, out: list) -> None:
+        pass
+
+    accepted = echo = inbox = ignore
+
+    # --- answers
+
+    def stop(self, rpc: Rpc, numbers: list, out: list) -> None:
+        for tx in numbers:
+            out.append('{"verb":"stop_attempt","sidecar_id":%d,"txn":%d,"copy":%d}' % (self.number, rpc.tag, tx))
+
+    def answer_for(self, rpc: Rpc, now: int, out: list) -> None:
+        answer = rpc.decide(now)
+        if answer is not None:
+            what, value = answer
+            if what >= 0:
+                out.append('{"verb":"hand_off","sidecar_id":%d,"txn":%d,"upstream":%s,"limit":%.1f}'
+                           % (self.number, rpc.tag, self.quoted[what], value / 10))
+            elif what == decide.EXHAUSTED:
+                out.append('{"verb":"shed","sidecar_id":%d,"txn":%d,"stay_away":%.1f}'
+                           % (self.number, rpc.tag, value / 10))
+            else:
+                out.append('{"verb":"give_up","sidecar_id":%d,"txn":%d}' % (self.number, rpc.tag))
+        if rpc.done and not rpc.out:
+            self.rpcs.pop(rpc.tag, None)
+
+    def close_batch(self, now: int, out: list) -> None:
+        balancer = self.balancer
+        for rpc in balancer.due(now):
+            self.answer_for(rpc, now, out)
+        if balancer.wants_list(now):
+            out.append('{"verb":"follow","sidecar_id":%d,"active":true}' % self.number)
+        wake = balancer.wake_at()
+        if wake < self.armed:
+            self.armed = wake
+            out.append('{"verb":"wake_me","sidecar_id":%d,"cookie":0,"delay":%.1f}'
+                       % (self.number, max(1, wake - now) / 10))
+
+
+HANDLERS = {verb: getattr(Instance, verb) for verb in
+            ("discovery", "submit", "answer", "abandoned", "alarm", "accepted", "echo", "inbox")}
+
+
+class Link:
+    """All instances of this process. They share nothing but the numbered lists of the wire."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.lists: dict[int, list] = {}
+        self.now = 0
+
+    def event(self, verb: str, event: dict, touched: dict, out: list) -> None:
+        if verb == "register":
+            for row in event["rows"]:
+                if type(row) is not dict:
+                    raise BadInput("rows", "an entry is not an object")
+                check(row, ROW, "rows.")
+            self.lists[event["set_id"]] = event["rows"]
+            return
+        number = event["sidecar_id"]
+        if verb == "power_on":
+            self.instances[number] = touched[number] = Instance(number, event, self.now)
+            return
+        instance = self.instances.get(number)
+        if instance is None:
+            raise BadInput("sidecar_id", f"sidecar {number} has not been started")
+        if verb == "teardown":
+            del self.instances[number]
+            touched.pop(number, None)
+            return
+        touched[number] = instance
+        guarded(number, HANDLERS[verb], instance, event, self.now, self.lists, out)
+
+
+def guarded(number: int, call, *args) -> None:
+    try:
+        call(*args)
+    except BadInput:
+        raise
+    except Exception as failure:
+        raise DecisionFault(number, f"{type(failure).__name__}: {failure}") from failure
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    link, line_number = Link(), 0
+    seq, touched, out = None, {}, []
+    for line in source:
+        line_number += 1
+        try:
+            try:
+                event = orjson.loads(line)
+            except orjson.JSONDecodeError as wrong:
+                raise BadInput("line", f"not JSON ({wrong})") from wrong
+            if type(event) is not dict or type(event.get("verb")) is not str:
+                raise BadInput("verb", "missing")
+            verb = event["verb"]
+            fields = REQUIRED.get(verb)
+            if fields is None:
+                raise BadInput("verb", f"{verb!r} is unknown")
+            check(event, fields)
+            if (seq is None) != (verb == "batch"):
+                raise BadInput("verb", f"{verb!r} is out of place")
+            if verb == "batch":
+                seq, touched, out = event["seq"], {}, []
+                link.now = ceil(event["now"] * 10)
+            elif verb == "commit":
+                for number, instance in touched.items():
+                    guarded(number, instance.close_batch, link.now, out)
+                reply(sink, out, seq)
+                seq = None
+            else:
+                link.event(verb, event, touched, out)
+        except BadInput as bad:
+            bad.line = line_number
+            raise
+        except DecisionFault as fault:
+            number, what = fault.args
+            out.append('{"verb":"fault","sidecar_id":%d,"what":%s}' % (number, orjson.dumps(what).decode()))
+            reply(sink, out, seq)
+            raise
+    if seq is not None:
+        bad = BadInput("commit", "missing at the end of the input")
+        bad.line = line_number
+        raise bad
+
+
+def reply(sink: BinaryIO, out: list, seq: int) -> None:
+    out.append('{"verb":"yield","seq":%d}\n' % seq)
+    sink.write("\n".join(out).encode())
+    sink.flush()
--- /dev/null
+++ b/shedgrade/decide.py
@@ -0,0 +1,430 @@
+"""Every decision of the balancer. No clock, no I/O: each call carries the time, in tenths of a millisecond.
+
+How to call it (the interface is defined here, by the public methods of `Balancer` and `Rpc`):
+  b = Balancer(settings, seed, now)       settings: a plain map; upstreams, methods and zones are small indices
+  b.list_changed(now, rows, whole, asked) rows (upstream, zone, state, started, cell); b.list_failed(now)
+  rpc = b.take(now, method, give_up_at, tag)  a handle; rpc.decide(now) then says what to do with it:
+      None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after) or (ERRORED, 0): the final answer.
+  rpc.ended(now, tx, outcome, took, settled)   one transmission ended: returns the transmissions to stop
+  rpc.gone(now)                           the client has left
+  b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
+  b.wants_list(now)                       True: subscribe to the list of upstreams now
+"""
+from bisect import insort
+from heapq import heappop, heappush
+from math import exp, inf
+from random import Random
+
+EXHAUSTED, ERRORED = -1, -2
+# States of an upstream in the list, and the ways a transmission ends. The first three prove that it never ran.
+READY, DRAINING, REMOVED = range(3)
+UNSENT, UNCONNECTED, TURNED_AWAY, COMPLETED, FAILED, TIMED_OUT, DROPPED, STOPPED = range(8)
+NEVER_RAN = (UNSENT, UNCONNECTED, TURNED_AWAY)
+
+SECOND = 10_000
+MEMORY = 5 * SECOND     # what is measured fades over 5 s: a few dozen RPCs of a busy balancer, a few of a light one
+THRESHOLD = 2.0         # in flight per ready upstream at which a zone may be dropped: the design's start value
+MARGIN = 1.0            # passed over when more than this above the zone's mean in flight: one RPC is chance, two not
+ROOM = 0.5              # an upstream takes one more while half the time left is expected to do for it
+
+
+class Upstream:
+    """One server as this balancer has seen it."""
+    __slots__ = ("index", "zone", "cell", "state", "started", "flight", "took", "crowd", "good", "bad", "stamp",
+                 "aside_until", "trial", "cold_next")
+
+    def __init__(self, index: int) -> None:
+        self.index, self.zone, self.cell, self.state, self.started, self.flight = index, None, 0, REMOVED, 0, 0
+        self.forget()
+
+    def forget(self) -> None:
+        """Health of an earlier process says nothing of the next one."""
+        self.took = self.crowd = self.good = self.bad = 0.0
+        self.stamp = self.aside_until = self.cold_next = 0
+        self.trial = False
+
+    def fade(self, now: int) -> None:
+        if now > self.stamp:
+            keep = exp((self.stamp - now) / MEMORY)
+            self.took, self.crowd = self.took * keep, self.crowd * keep
+            self.good, self.bad, self.stamp = self.good * keep, self.bad * keep, now
+
+
+class Zone:
+    """The rotation of one zone."""
+    __slots__ = ("ring", "turn", "flight")
+
+    def __init__(self, turn: float) -> None:
+        self.ring, self.turn, self.flight = [], turn, 0
+
+
+class Method:
+    """What the settings say of one method, times in tenths of a millisecond."""
+    __slots__ = ("soft", "hard", "payoff", "late", "retriable", "deduped", "group", "window", "further")
+
+    def __init__(self, settings: dict, top_payoff: float, most: int) -> None:
+        self.soft, self.hard = int(settings["soft_deadline"] * 10), int(settings["hard_deadline"] * 10)
+        self.payoff, self.late = settings["payoff"], settings["overdue_payoff"]
+        self.retriable, self.deduped = settings["idempotency"] == "repeatable", settings["idempotency"] == "by_key"
+        self.group = settings["group"] if self.deduped else "all"
+        self.window = int(settings["repeat_window"] * 10) if self.deduped else 0
+        # Further transmissions after one that may have run go by payoff: the dearest method may use all that is left.
+        self.further = max(1, round((most - 1) * self.payoff / top_payoff)) if top_payoff else 1
+
+
+class Rpc:
+    """One RPC taken; everything that happens to it later is a call on this handle. `tag` is the caller's own mark."""
+    __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats", "again_at",
+                 "held", "done")
+
+    def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, tag: object) -> None:
+        self.home, self.method, self.come, self.tag = home, method, now, tag
+        # An answer is wanted two ticks early, so that a time-out is still answered before the deadline.
+        self.soft_end = min(now + method.soft, give_up_at) - home.slack
+        self.end = give_up_at - home.slack if method.late else self.soft_end
+        # Per transmission: its upstream, and when it was sent (None once it is proved that it never ran).
+        self.tries, self.sent, self.out = [], [], {}
+        self.repeats, self.again_at, self.held, self.done = 0, None, None, False
+
+    def first_run(self) -> int | None:
+        """The first transmission that may have run, those still out included."""
+        for tx, at in enumerate(self.sent):
+            if at is not None:
+                return tx
+        return None
+
+    def allowed(self, up: Upstream, now: int) -> bool:
+        """Rule 2, no effect twice: what may have run goes again only where its method permits."""
+        method, first = self.method, self.first_run()
+        if first is None or method.retriable:
+            return True
+        if not method.deduped or now > self.sent[first] + method.window:
+            return False
+        ran_on = self.tries[first]
+        return method.group == "all" or (up.zone == ran_on.zone if method.group == "zone" else up.cell == ran_on.cell)
+
+    def final(self, now: int) -> tuple[int, int]:
+        """Exhausted tells the client that another try is harmless; where that is not certain, errored."""
+        self.finish()
+        method = self.method
+        if method.retriable or self.first_run() is None or (method.deduped and method.group == "all"):
+            return EXHAUSTED, self.home.retry_after(now, self)
+        return ERRORED, 0
+
+    def finish(self) -> list[int]:
+        """No more answers; returns the transmissions still out, which nobody waits for any longer."""
+        self.done = True
+        self.home.unhold(self)
+        return list(self.out) if self.home.cancelling else []
+
+    def decide(self, now: int) -> tuple[int, int] | None:
+        home, method = self.home, self.method
+        if self.done or (self.out and not (self.again_at is not None and now >= self.again_at)):
+            return None
+        self.again_at = None
+        repeat = self.first_run() is not None
+        if now >= self.end or len(self.tries) >= home.most or (
+                repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
+                                and home.spare >= 1)):
+            return None if self.out else self.final(now)
+        up = home.choose(now, self)
+        if up is not None:
+            return self.transmit(now, up, repeat)
+        return None if self.out else home.hold(now, self)
+
+    def transmit(self, now: int, up: Upstream, repeat: bool) -> tuple[int, int]:
+        home, method = self.home, self.method
+        home.unhold(self)
+        if repeat:
+            self.repeats += 1
+            home.spare -= 1
+        limit = self.end - now
+        if (method.retriable or method.deduped) and len(self.tries) + 1 < home.most and home.spare >= 1:
+            # Guards against a hang: a second upstream gets its chance while the soft deadline can still be met.
+            patience = int(max(3 * home.expected(up, now), (self.soft_end - now) // 2))
+            if now + patience + home.typical() < self.soft_end:
+                if home.parallel:
+                    self.again_at = now + patience
+                    heappush(home.alarms, (self.again_at, home.count(), self))
+                else:
+                    limit = min(limit, patience)
+        up.flight += 1
+        home.zones[up.zone].flight += 1
+        home.flight += 1
+        self.out[len(self.tries)] = up.flight
+        self.tries.append(up)
+        self.sent.append(now)
+        return up.index, max(1, limit)
+
+    def ended(self, now: int, tx: int, outcome: int, took: int, settled: bool) -> list[int]:
+        home, up = self.home, self.tries[tx]
+        crowd = self.out.pop(tx)
+        up.flight -= 1
+        home.zones[up.zone].flight -= 1
+        home.flight -= 1
+        home.learn(now, up, outcome, took, crowd)
+        if outcome in NEVER_RAN:
+            self.sent[tx] = None
+        return self.finish() if settled and not self.done else []
+
+    def gone(self, now: int) -> list[int]:
+        return self.finish()
+
+
+class Balancer:
+    """The decisions of one sidecar."""
+
+    def __init__(self, settings: dict, seed: int, now: int) -> None:
+        random = Random(seed)
+        self.chance, self.span = random.random, random.uniform
+        limits, rules = settings["limits"], settings["rules"]
+        self.most, self.parallel, self.cancelling = (
+            limits["most_transmissions"], limits["parallel_tries"], limits["cancelling"])
+        self.longest_wait = int(limits["max_retry_after"] * 10) if limits["retry_after"] else 0
+        self.slack = 2 * int(settings["tick"] * 10)
+        self.own, self.sidecars = settings["az"], settings["balancers"]
+        self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
+        self.fall_multiple, self.fall_span = rules["fall_multiple"], rules["overload_for"] * 10
+        top = max((m["payoff"] for m in settings["methods"]), default=1)
+        self.methods = [Method(m, top, self.most) for m in settings["methods"]]
+        self.asks, self.ask_every = settings["membership_mode"] == "on_request", int(rules["ask_every"] * 10)
+        self.following, self.pending, self.ask_at, self.ask_wait = False, False, now, SECOND
+        self.ups: list[Upstream] = []
+        self.zones = [Zone(self.chance()) for _ in settings["zones"]]
+        self.alarms, self.held, self.counter = [], [], 0
+        self.flight, self.spare = 0, 5.0
+        # Until something is seen, an upstream is believed to finish two at once in the room there is.
+        soft = min(m.soft for m in self.methods) - self.slack
+        self.took, self.crowd, self.stamp = ROOM * soft, 2.0, now
+        self.ends, self.each = 1.0, ROOM * soft / 2
+
+    def count(self) -> int:
+        self.counter += 1
+        return self.counter
+
+    # --- the list of upstreams
+
+    def list_changed(self, now: int, rows: list, whole: bool, asked: bool) -> None:
+        if asked:
+            self.pending, self.following, self.ask_wait = False, True, SECOND
+        if whole:
+            named = {row[0] for row in rows}
+            for up in self.ups:
+                if up.index not in named:
+                    up.state = REMOVED
+        for index, zone, state, started, cell in rows:
+            while len(self.ups) <= index:
+                self.ups.append(Upstream(len(self.ups)))
+            up = self.ups[index]
+            if up.zone is not None and up.zone != zone:
+                self.zones[up.zone].flight -= up.flight
+                self.zones[zone].flight += up.flight
+            elif up.zone is None:
+                self.zones[zone].flight += up.flight
+            if started != up.started:
+                up.forget()
+            up.zone, up.cell, up.state, up.started = zone, cell, state, started
+        self.rebuild(now)
+
+    def list_failed(self, now: int) -> None:
+        """The subscription broke or a call failed: ask again soon, then less often, never later than is allowed."""
+        self.pending = self.following = False
+        self.ask_at = now + int(self.ask_wait * self.span(0.5, 1.0))
+        self.ask_wait = min(2 * self.ask_wait, self.ask_every // 2)
+
+    def wants_list(self, now: int) -> bool:
+        if not self.asks or self.following or self.pending or now < self.ask_at:
+            return False
+        self.pending = True
+        return True
+
+    def rebuild(self, now: int) -> None:
+        """Rotations of the ready upstreams that are not set aside; what is set aside wakes us when it returns."""
+        for zone in self.zones:
+            zone.ring = []
+        for up in self.ups:
+            if up.state == READY and up.aside_until <= now:
+                self.zones[up.zone].ring.append(up)
+
+    # --- the mechanism
+
+    def choose(self, now: int, rpc: Rpc) -> Upstream | None:
+        """The design's path: drop the worst zone at the threshold, own zone first, else a draw; then rotation."""
+        worst, most = None, THRESHOLD
+        open_zones = []
+        for zone in self.zones:
+            if zone.ring:
+                open_zones.append(zone)
+                load = zone.flight / len(zone.ring)
+                if load >= most and (worst is None or load > most):
+                    worst, most = zone, load
+        if worst is not None and len(open_zones) > 1:
+            open_zones.remove(worst)
+        own = self.zones[self.own]
+        left = rpc.soft_end - now if not rpc.method.late else rpc.end - now
+        if own in open_zones:
+            up = self.rotate(own, now, rpc, left)
+            if up is not None:
+                return up
+            open_zones.remove(own)
+        # A zone without room is left out and the draw repeated.
+        while open_zones:
+            zone = self.draw(open_zones)
+            up = self.rotate(zone, now, rpc, left)
+            if up is not None:
+                return up
+            open_zones.remove(zone)
+        if worst is not None and worst.ring:
+            return self.rotate(worst, now, rpc, left)
+        return None if self.flight or rpc.out else self.last_resort(now, rpc)
+
+    def draw(self, zones: list) -> Zone:
+        at = self.chance() * sum(len(zone.ring) for zone in zones)
+        for zone in zones:
+            at -= len(zone.ring)
+            if at < 0:
+                return zone
+        return zones[-1]
+
+    def rotate(self, zone: Zone, now: int, rpc: Rpc, left: int) -> Upstream | None:
+        """The next in rotation that is not well above the mean, then any that has room."""
+        ring = zone.ring
+        size = len(ring)
+        start = int(zone.turn * size) if isinstance(zone.turn, float) else zone.turn % size
+        bar = zone.flight / size + MARGIN
+        over = None
+        for step in range(size):
+            up = ring[(start + step) % size]
+            if up in rpc.tries or not rpc.allowed(up, now) or not self.room(up, now, left):
+                continue
+            if up.flight <= bar:
+                zone.turn = (start + step + 1) % size
+                return self.chosen(up, now)
+            over = over or up
+        return over and self.chosen(over, now)
+
+    def chosen(self, up: Upstream, now: int) -> Upstream:
+        age = now - up.started
+        if up.started and age < self.cold:
+            up.cold_next = now + self.cold_gap(age)
+        return up
+
+    def cold_gap(self, age: float) -> int:
+        """Rule 4: this balancer's part of what a cold upstream can take, were all its equals to send the same."""
+        share = self.cold_from + (1 - self.cold_from) * max(0, age) / self.cold
+        return int(self.sidecars * self.took / self.crowd / (self.fall_multiple * share))
+
+    def room(self, up: Upstream, now: int, left: int) -> bool:
+        """Guards against crowding: one more only if it is expected back well within the time left."""
+        if up.trial and up.flight:
+            return False
+        if now < up.cold_next:
+            return False
+        expected = self.expected(up, now)
+        return expected <= (left * ROOM if up.flight else left)
+
+    def expected(self, up: Upstream, now: int) -> float:
+        """How long one more transmission would take, from what each one in flight has cost lately."""
+        up.fade(now)
+        return (up.took + self.took / self.crowd) / (up.crowd + 1.0) * (up.flight + 1)
+
+    def typical(self) -> float:
+        return self.each / self.ends
+
+    def last_resort(self, now: int, rpc: Rpc) -> Upstream | None:
+        """Nothing eligible and nothing out whose end would help: the ready upstream that returns first, one at a time."""
+        best = None
+        for up in self.ups:
+            if up.state == READY and not up.flight and now >= up.cold_next and up not in rpc.tries \
+                    and rpc.allowed(up, now) and (best is None or up.aside_until < best.aside_until):
+                best = up
+        return best and self.chosen(best, now)
+
+    # --- is an upstream well
+
+    def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int) -> None:
+        up.fade(now)
+        if outcome in (COMPLETED, TIMED_OUT):
+            up.took += took
+            up.crowd += crowd
+            keep = exp((self.stamp - now) / MEMORY) if now > self.stamp else 1.0
+            self.took, self.crowd, self.stamp = self.took * keep + took, self.crowd * keep + crowd, now
+            self.ends, self.each = self.ends * keep + 1, self.each * keep + took
+        if outcome == COMPLETED:
+            up.good += 1
+            up.trial = False
+        elif outcome in (FAILED, TIMED_OUT, DROPPED):
+            up.bad += 1
+        # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that outweigh
+        # the good ones, or one connection refused, set the upstream aside.
+        if outcome == UNCONNECTED or (up.bad > 1.5 and up.bad > up.good) or (up.trial and outcome != COMPLETED):
+            self.set_aside(now, up, outcome == UNCONNECTED)
+
+    def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
+        ring = self.zones[up.zone].ring
+        if up.state != READY or up.aside_until > now:
+            return
+        # Guards against a fault of our own side or of everything at once: at most half is set aside on suspicion.
+        ready = sum(1 for u in self.ups if u.state == READY)
+        aside = sum(1 for u in self.ups if u.state == READY and u.aside_until > now)
+        if not certain and 2 * (aside + 1) > ready:
+            return
+        up.aside_until = now + int(self.span(2, 3) * SECOND)
+        up.trial, up.good, up.bad = True, 0.0, 0.0
+        if up in ring:
+            ring.remove(up)
+        heappush(self.alarms, (up.aside_until, self.count(), None))
+
+    # --- holding, and when to answer exhausted
+
+    def hold(self, now: int, rpc: Rpc) -> tuple[int, int] | None:
+        """No room anywhere: wait for an end, dearest first, while the wait can be expected to end in an answer."""
+        if rpc.held is not None:
+            return None if now < rpc.held[2] else rpc.final(now)
+        typical = self.typical()
+        last = int(rpc.soft_end - typical / 2)
+        place = (-rpc.method.payoff, self.count(), last, rpc)
+        ahead = sum(1 for other in self.held if other[0] <= place[0]) + 1
+        if not self.flight or now + ahead * typical / self.flight > last:
+            return rpc.final(now)
+        rpc.held = place
+        insort(self.held, place)
+        heappush(self.alarms, (last, self.count(), rpc))
+        return None
+
+    def unhold(self, rpc: Rpc) -> None:
+        if rpc.held is not None:
+            self.held.remove(rpc.held)
+            rpc.held = None
+
+    def retry_after(self, now: int, rpc: Rpc) -> int:
+        """An answer after the soft deadline is worth little, so the client is asked to stay away until then."""
+        return min(self.longest_wait, max(0, rpc.come + rpc.method.hard - now))
+
+    # --- calls of the adapter
+
+    def take(self, now: int, method: int, give_up_at: int, tag: object = None) -> Rpc:
+        # One further transmission for ten RPCs: enough for single faults, too little for a storm.
+        self.spare = min(10.0, self.spare + 0.1)
+        return Rpc(self, self.methods[method], now, give_up_at, tag)
+
+    def due(self, now: int):
+        """Yields the handles that should be asked again, each before the next is looked for."""
+        while self.alarms and self.alarms[0][0] <= now:
+            rpc = heappop(self.alarms)[2]
+            if rpc is None:
+                self.rebuild(now)
+            elif not rpc.done:
+                yield rpc
+        while self.held:
+            rpc = self.held[0][3]
+            yield rpc
+            if rpc.held is not None:
+                return
+
+    def wake_at(self) -> float:
+        """When `due` or `wants_list` has something at the latest, if nothing else happens."""
+        at = self.alarms[0][0] if self.alarms else inf
+        if self.asks and not self.following and not self.pending:
+            at = min(at, self.ask_at)
+        return at
