--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -27,6 +27,9 @@
 MARGIN = 1.0            # passed over when more than this above the zone's mean in flight: one RPC is chance, two not
 ROOM = 0.5              # an upstream takes one more while half the time left is expected to do for it
 
+LATE = 0.7              # a transmission that took more of the soft deadline than this counts as crowding
+SHRINK = 0.9            # the window keeps this much after a late one
+
 
 class Upstream:
     """One server as this balancer has seen it."""
@@ -127,7 +130,7 @@
                 repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
                                 and home.spare >= 1)):
             return None if self.out else self.final(now)
-        up = home.choose(now, self)
+        up = home.choose(now, self) if home.flight < home.window or not home.flight else None
         if up is not None:
             return self.transmit(now, up, repeat)
         return None if self.out else home.hold(now, self)
@@ -162,6 +165,10 @@
         up.flight -= 1
         home.zones[up.zone].flight -= 1
         home.flight -= 1
+        if outcome == TIMED_OUT or took > LATE * self.method.soft:
+            home.window = max(1.0, home.window * SHRINK)
+        elif outcome == COMPLETED and home.flight + 2 > home.window:
+            home.window += 1 / home.window
         home.learn(now, up, outcome, took, crowd)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
@@ -193,6 +200,7 @@
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
+        self.window = inf
         # Until something is seen, an upstream is believed to finish two at once in the room there is.
         soft = min(m.soft for m in self.methods) - self.slack
         self.took, self.crowd, self.stamp = ROOM * soft, 2.0, now
@@ -225,6 +233,9 @@
                 up.forget()
             up.zone, up.cell, up.state, up.started = zone, cell, state, started
         self.rebuild(now)
+        if self.window == inf:
+            ready = sum(len(zone.ring) for zone in self.zones)
+            self.window = max(2.0, THRESHOLD * ready / self.sidecars)
 
     def list_failed(self, now: int) -> None:
         """The subscription broke or a call failed: ask again soon, then less often, never later than is allowed."""
@@ -398,7 +409,7 @@
             rpc.held = None
 
     def retry_after(self, now: int, rpc: Rpc) -> int:
-        """An answer after the soft deadline is worth little, so the client is asked to stay away until then."""
+        """An answer after the soft deadline is worth little, so the client is to stay away until then."""
         return min(self.longest_wait, max(0, rpc.come + rpc.method.hard - now))
 
     # --- calls of the adapter
