--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -27,7 +27,6 @@
 MARGIN = 1.0            # passed over when more than this above the zone's mean in flight: one RPC is chance, two not
 ROOM = 0.5              # an upstream takes one more while half the time left is expected to do for it
 
-LATE = 0.7              # a transmission that took more of the soft deadline than this counts as crowding
 SHRINK = 0.9            # the window keeps this much after a late one
 
 
@@ -165,8 +164,10 @@
         up.flight -= 1
         home.zones[up.zone].flight -= 1
         home.flight -= 1
-        if outcome == TIMED_OUT or took > LATE * self.method.soft:
-            home.window = max(1.0, home.window * SHRINK)
+        if outcome == TIMED_OUT:
+            # A late end shrinks the window only where the upstream is no worse than the rest.
+            if up.took * home.crowd <= 1.2 * home.took * up.crowd:
+                home.window = max(1.0, home.window * SHRINK)
         elif outcome == COMPLETED and home.flight + 2 > home.window:
             home.window += 1 / home.window
         home.learn(now, up, outcome, took, crowd)
