The window grows and shrinks in proportion to itself

Additive growth let light balancers grow by half after one success while many time out: with several sidecars the same share of late ends should hold every window, whatever its size.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -27,7 +27,7 @@
 MARGIN = 1.0            # passed over when more than this above the zone's mean in flight: one RPC is chance, two not
 ROOM = 0.5              # an upstream takes one more while half the time left is expected to do for it
 
-SHRINK = 0.9            # the window keeps this much after a late one
+GROW, SHRINK = 1.05, 0.85  # the window holds where one in nine or so is late, whatever its size
 
 
 class Upstream:
@@ -169,7 +169,7 @@
             if up.took * home.crowd <= 1.2 * home.took * up.crowd:
                 home.window = max(1.0, home.window * SHRINK)
         elif outcome == COMPLETED and home.flight + 2 > home.window:
-            home.window += 1 / home.window
+            home.window *= GROW
         home.learn(now, up, outcome, took, crowd)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
