--- a/shedgrade/benchlink/__main__.py
+++ b/shedgrade/benchlink/__main__.py
@@ -1,9 +1,9 @@
 import sys
 
-from shedgrade.benchlink.wire import BadInput, serve
+from shedgrade.benchlink.wire import BadInputError, serve
 
 if __name__ == "__main__":
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except BadInput as bad:
+    except BadInputError as bad:
         sys.exit(f"benchlink: {bad}")
--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -31,7 +31,7 @@
 ROW = (("upstream", (str,)),)
 
 
-class BadInput(Exception):
+class BadInputError(Exception):
     """A line that is not of this protocol: tells the line, the field and the reason."""
 
     def __init__(self, field: str, reason: str) -> None:
@@ -41,16 +41,16 @@
         return f"line {self.line}: {self.field}: {self.reason}"
 
 
-class DecisionFault(Exception):
+class DecisionError(Exception):
     """The decisions failed; the text goes out as the wire's `fault`."""
 
 
 def check(message: dict, fields: tuple, where: str = "") -> None:
     for name, types in fields:
         if name not in message:
-            raise BadInput(where + name, "missing")
+            raise BadInputError(where + name, "missing")
         if type(message[name]) not in types:
-            raise BadInput(where + name, f"is of type {type(message[name]).__name__}")
+            raise BadInputError(where + name, f"is of type {type(message[name]).__name__}")
 
 
 def optional(message: dict, name: str, types: tuple, default):
@@ -58,14 +58,14 @@
     if value is None:
         return default
     if type(value) not in types:
-        raise BadInput(name, f"is of type {type(value).__name__}")
+        raise BadInputError(name, f"is of type {type(value).__name__}")
     return value
 
 
 def index_below(message: dict, name: str, size: int) -> int:
     value = optional(message, name, (int,), 0)
     if not 0 <= value < size:
-        raise BadInput(name, f"{value} is outside the settings' list of {size}")
+        raise BadInputError(name, f"{value} is outside the settings' list of {size}")
     return value
 
 
@@ -74,7 +74,7 @@
 
 
 class Instance:
-    """One sidecar on the wire: its balancer, its upstreams' indices, and the RPCs that are still of interest."""
+    """One sidecar on the wire: its balancer, its upstreams' indices, the RPCs that are still of interest."""
 
     def __init__(self, number: int, event: dict, now: int) -> None:
         self.number = number
@@ -82,25 +82,25 @@
             self.balancer = Balancer(event["conf"], event["prng"], now)
             self.methods, self.zones = len(event["conf"]["methods"]), len(event["conf"]["zones"])
         except KeyError as missing:
-            raise BadInput("conf", f"setting {missing} is missing") from missing
+            raise BadInputError("conf", f"setting {missing} is missing") from missing
         except (TypeError, ValueError, IndexError, AttributeError) as wrong:
-            raise BadInput("conf", f"a setting has the wrong form: {wrong}") from wrong
+            raise BadInputError("conf", f"a setting has the wrong form: {wrong}") from wrong
         self.indices: dict[str, int] = {}
-        self.quoted: list[str] = []
+        self.addresses: list[str] = []
         self.rpcs: dict[int, Rpc] = {}
         self.armed = inf
 
     def upstream(self, address: str) -> int:
         index = self.indices.get(address)
         if index is None:
-            index = self.indices[address] = len(self.quoted)
-            self.quoted.append(orjson.dumps(address).decode())
+            index = self.indices[address] = len(self.addresses)
+            self.addresses.append(address)
         return index
 
     def rpc(self, event: dict) -> Rpc:
         rpc = self.rpcs.get(event["txn"])
         if rpc is None:
-            raise BadInput("txn", f"{event['txn']} was never submitted to sidecar {self.number}")
+            raise BadInputError("txn", f"{event['txn']} was never submitted to sidecar {self.number}")
         return rpc
 
     # --- events
@@ -111,15 +111,15 @@
             self.balancer.list_failed(now)
             return
         if kind not in ("D", "F", "C"):
-            raise BadInput("kind", f"{kind!r} is unknown")
+            raise BadInputError("kind", f"{kind!r} is unknown")
         set_id = optional(event, "set_id", (int,), 0)
         if set_id not in lists:
-            raise BadInput("set_id", f"no list was registered as {set_id}")
+            raise BadInputError("set_id", f"no list was registered as {set_id}")
         rows = []
         for row in lists[set_id]:
             state = STATES.get(row.get("phase", "U"))
             if state is None:
-                raise BadInput("rows.phase", f"{row['phase']!r} is unknown")
+                raise BadInputError("rows.phase", f"{row['phase']!r} is unknown")
             rows.append((self.upstream(row["upstream"]), index_below(row, "locality", self.zones), state,
                          tenths(optional(row, "start_time", NUMBER, 0)), optional(row, "stripe", (int,), 0)))
         self.balancer.list_changed(now, rows, kind != "D", kind != "C")
@@ -127,7 +127,7 @@
     def submit(self, event: dict, now: int, lists: dict, out: list) -> None:
         txn = event["txn"]
         if txn in self.rpcs:
-            raise BadInput("txn", f"{txn} was submitted before")
+            raise BadInputError("txn", f"{txn} was submitted before")
         rpc = self.rpcs[txn] = self.balancer.take(
             now, index_below(event, "profile", self.methods), floor(event["not_after"] * 10), txn)
         self.answer_for(rpc, now, out)
@@ -135,9 +135,9 @@
     def answer(self, event: dict, now: int, lists: dict, out: list) -> None:
         rpc, tx, outcome = self.rpc(event), optional(event, "copy", (int,), 0), OUTCOMES.get(event["how"])
         if outcome is None:
-            raise BadInput("how", f"{event['how']!r} is unknown")
+            raise BadInputError("how", f"{event['how']!r} is unknown")
         if tx not in rpc.out:
-            raise BadInput("copy", f"transmission {tx} of {rpc.tag} is not out")
+            raise BadInputError("copy", f"transmission {tx} of {rpc.tag} is not out")
         self.stop(rpc, rpc.ended(now, tx, outcome, tenths(optional(event, "duration", NUMBER, 0)),
                                  event.get("settled") is True), out)
         self.answer_for(rpc, now, out)
@@ -158,22 +158,23 @@
 
     # --- answers
 
+    def say(self, out: list, verb: str, **fields) -> None:
+        out.append(orjson.dumps({"verb": verb, "sidecar_id": self.number, **fields}))
+
     def stop(self, rpc: Rpc, numbers: list, out: list) -> None:
         for tx in numbers:
-            out.append('{"verb":"stop_attempt","sidecar_id":%d,"txn":%d,"copy":%d}' % (self.number, rpc.tag, tx))
+            self.say(out, "stop_attempt", txn=rpc.tag, copy=tx)
 
     def answer_for(self, rpc: Rpc, now: int, out: list) -> None:
         answer = rpc.decide(now)
         if answer is not None:
             what, value = answer
             if what >= 0:
-                out.append('{"verb":"hand_off","sidecar_id":%d,"txn":%d,"upstream":%s,"limit":%.1f}'
-                           % (self.number, rpc.tag, self.quoted[what], value / 10))
+                self.say(out, "hand_off", txn=rpc.tag, upstream=self.addresses[what], limit=value / 10)
             elif what == decide.EXHAUSTED:
-                out.append('{"verb":"shed","sidecar_id":%d,"txn":%d,"stay_away":%.1f}'
-                           % (self.number, rpc.tag, value / 10))
+                self.say(out, "shed", txn=rpc.tag, stay_away=value / 10)
             else:
-                out.append('{"verb":"give_up","sidecar_id":%d,"txn":%d}' % (self.number, rpc.tag))
+                self.say(out, "give_up", txn=rpc.tag)
         if rpc.done and not rpc.out:
             self.rpcs.pop(rpc.tag, None)
 
@@ -182,12 +183,11 @@
         for rpc in balancer.due(now):
             self.answer_for(rpc, now, out)
         if balancer.wants_list(now):
-            out.append('{"verb":"follow","sidecar_id":%d,"active":true}' % self.number)
+            self.say(out, "follow", active=True)
         wake = balancer.wake_at()
         if wake < self.armed:
             self.armed = wake
-            out.append('{"verb":"wake_me","sidecar_id":%d,"cookie":0,"delay":%.1f}'
-                       % (self.number, max(1, wake - now) / 10))
+            self.say(out, "wake_me", cookie=0, delay=max(1, wake - now) / 10)
 
 
 HANDLERS = {verb: getattr(Instance, verb) for verb in
@@ -206,7 +206,7 @@
         if verb == "register":
             for row in event["rows"]:
                 if type(row) is not dict:
-                    raise BadInput("rows", "an entry is not an object")
+                    raise BadInputError("rows", "an entry is not an object")
                 check(row, ROW, "rows.")
             self.lists[event["set_id"]] = event["rows"]
             return
@@ -216,7 +216,7 @@
             return
         instance = self.instances.get(number)
         if instance is None:
-            raise BadInput("sidecar_id", f"sidecar {number} has not been started")
+            raise BadInputError("sidecar_id", f"sidecar {number} has not been started")
         if verb == "teardown":
             del self.instances[number]
             touched.pop(number, None)
@@ -228,10 +228,10 @@
 def guarded(number: int, call, *args) -> None:
     try:
         call(*args)
-    except BadInput:
+    except BadInputError:
         raise
     except Exception as failure:
-        raise DecisionFault(number, f"{type(failure).__name__}: {failure}") from failure
+        raise DecisionError(number, f"{type(failure).__name__}: {failure}") from failure
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
@@ -243,16 +243,16 @@
             try:
                 event = orjson.loads(line)
             except orjson.JSONDecodeError as wrong:
-                raise BadInput("line", f"not JSON ({wrong})") from wrong
+                raise BadInputError("line", f"not JSON ({wrong})") from wrong
             if type(event) is not dict or type(event.get("verb")) is not str:
-                raise BadInput("verb", "missing")
+                raise BadInputError("verb", "missing")
             verb = event["verb"]
             fields = REQUIRED.get(verb)
             if fields is None:
-                raise BadInput("verb", f"{verb!r} is unknown")
+                raise BadInputError("verb", f"{verb!r} is unknown")
             check(event, fields)
             if (seq is None) != (verb == "batch"):
-                raise BadInput("verb", f"{verb!r} is out of place")
+                raise BadInputError("verb", f"{verb!r} is out of place")
             if verb == "batch":
                 seq, touched, out = event["seq"], {}, []
                 link.now = ceil(event["now"] * 10)
@@ -263,21 +263,21 @@
                 seq = None
             else:
                 link.event(verb, event, touched, out)
-        except BadInput as bad:
+        except BadInputError as bad:
             bad.line = line_number
             raise
-        except DecisionFault as fault:
+        except DecisionError as fault:
             number, what = fault.args
-            out.append('{"verb":"fault","sidecar_id":%d,"what":%s}' % (number, orjson.dumps(what).decode()))
+            out.append(orjson.dumps({"verb": "fault", "sidecar_id": number, "what": what}))
             reply(sink, out, seq)
             raise
     if seq is not None:
-        bad = BadInput("commit", "missing at the end of the input")
+        bad = BadInputError("commit", "missing at the end of the input")
         bad.line = line_number
         raise bad
 
 
 def reply(sink: BinaryIO, out: list, seq: int) -> None:
-    out.append('{"verb":"yield","seq":%d}\n' % seq)
-    sink.write("\n".join(out).encode())
+    out.append(orjson.dumps({"verb": "yield", "seq": seq}, option=orjson.OPT_APPEND_NEWLINE))
+    sink.write(b"\n".join(out))
     sink.flush()
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -1,10 +1,10 @@
 """Every decision of the balancer. No clock, no I/O: each call carries the time, in tenths of a millisecond.
 
 How to call it (the interface is defined here, by the public methods of `Balancer` and `Rpc`):
-  b = Balancer(settings, seed, now)       settings: a plain map; upstreams, methods and zones are small indices
+  b = Balancer(settings, seed, now)       settings: a plain map; upstreams, methods, zones are small indices
   b.list_changed(now, rows, whole, asked) rows (upstream, zone, state, started, cell); b.list_failed(now)
   rpc = b.take(now, method, give_up_at, tag)  a handle; rpc.decide(now) then says what to do with it:
-      None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after) or (ERRORED, 0): the final answer.
+      None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
   rpc.ended(now, tx, outcome, took, settled)   one transmission ended: returns the transmissions to stop
   rpc.gone(now)                           the client has left
   b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
@@ -16,40 +16,43 @@
 from random import Random
 
 EXHAUSTED, ERRORED = -1, -2
-# States of an upstream in the list, and the ways a transmission ends. The first three prove that it never ran.
+# States of an upstream in the list, and ways a transmission ends. The first three prove that it never ran.
 READY, DRAINING, REMOVED = range(3)
 UNSENT, UNCONNECTED, TURNED_AWAY, COMPLETED, FAILED, TIMED_OUT, DROPPED, STOPPED = range(8)
 NEVER_RAN = (UNSENT, UNCONNECTED, TURNED_AWAY)
 
 SECOND = 10_000
-MEMORY = 5 * SECOND     # what is measured fades over 5 s: a few dozen RPCs of a busy balancer, a few of a light one
-THRESHOLD = 2.0         # in flight per ready upstream at which a zone may be dropped: the design's start value
-MARGIN = 1.0            # passed over when more than this above the zone's mean in flight: one RPC is chance, two not
+MEMORY = 5 * SECOND     # measures fade over 5 s: hundreds of RPCs of a busy balancer, a few of a light one
+THRESHOLD = 2.0         # in flight per ready upstream at which a zone may be dropped, as the design starts
+MARGIN = 1.0            # passed over if more than this above the zone's mean: one RPC is chance, two are not
 ROOM = 0.5              # an upstream takes one more while half the time left is expected to do for it
 
-GROW, SHRINK = 1.05, 0.85  # the window holds where one in nine or so is late, whatever its size
+QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
+LATE = 0.7              # of the soft deadline: slower ends count as late
+GROW, SHRINK = 1.05, 0.85  # the window holds where one end in four or five is late, whatever its size
 
 
 class Upstream:
     """One server as this balancer has seen it."""
-    __slots__ = ("index", "zone", "cell", "state", "started", "flight", "took", "crowd", "good", "bad", "stamp",
-                 "aside_until", "trial", "cold_next")
+    __slots__ = ("index", "zone", "cell", "state", "started", "flight", "took", "foreseen", "good", "bad",
+                 "stamp", "aside_until", "trial", "cold_next")
 
     def __init__(self, index: int) -> None:
-        self.index, self.zone, self.cell, self.state, self.started, self.flight = index, None, 0, REMOVED, 0, 0
+        self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
+        self.started = self.flight = 0
         self.forget()
 
     def forget(self) -> None:
         """Health of an earlier process says nothing of the next one."""
-        self.took = self.crowd = self.good = self.bad = 0.0
+        self.took = self.foreseen = self.good = self.bad = 0.0
         self.stamp = self.aside_until = self.cold_next = 0
         self.trial = False
 
     def fade(self, now: int) -> None:
         if now > self.stamp:
             keep = exp((self.stamp - now) / MEMORY)
-            self.took, self.crowd = self.took * keep, self.crowd * keep
-            self.good, self.bad, self.stamp = self.good * keep, self.bad * keep, now
+            self.took, self.foreseen, self.stamp = self.took * keep, self.foreseen * keep, now
+            self.good, self.bad = self.good * keep, self.bad * keep
 
 
 class Zone:
@@ -67,17 +70,18 @@
     def __init__(self, settings: dict, top_payoff: float, most: int) -> None:
         self.soft, self.hard = int(settings["soft_deadline"] * 10), int(settings["hard_deadline"] * 10)
         self.payoff, self.late = settings["payoff"], settings["overdue_payoff"]
-        self.retriable, self.deduped = settings["idempotency"] == "repeatable", settings["idempotency"] == "by_key"
+        self.retriable = settings["idempotency"] == "repeatable"
+        self.deduped = settings["idempotency"] == "by_key"
         self.group = settings["group"] if self.deduped else "all"
         self.window = int(settings["repeat_window"] * 10) if self.deduped else 0
-        # Further transmissions after one that may have run go by payoff: the dearest method may use all that is left.
+        # Further transmissions after one that may have run go by payoff: the dearest method may use all left.
         self.further = max(1, round((most - 1) * self.payoff / top_payoff)) if top_payoff else 1
 
 
 class Rpc:
-    """One RPC taken; everything that happens to it later is a call on this handle. `tag` is the caller's own mark."""
-    __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats", "again_at",
-                 "held", "done")
+    """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's own mark."""
+    __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
+                 "again_at", "held", "done")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, tag: object) -> None:
         self.home, self.method, self.come, self.tag = home, method, now, tag
@@ -103,7 +107,9 @@
         if not method.deduped or now > self.sent[first] + method.window:
             return False
         ran_on = self.tries[first]
-        return method.group == "all" or (up.zone == ran_on.zone if method.group == "zone" else up.cell == ran_on.cell)
+        if method.group == "zone":
+            return up.zone == ran_on.zone
+        return method.group == "all" or up.cell == ran_on.cell
 
     def final(self, now: int) -> tuple[int, int]:
         """Exhausted tells the client that another try is harmless; where that is not certain, errored."""
@@ -142,7 +148,7 @@
             home.spare -= 1
         limit = self.end - now
         if (method.retriable or method.deduped) and len(self.tries) + 1 < home.most and home.spare >= 1:
-            # Guards against a hang: a second upstream gets its chance while the soft deadline can still be met.
+            # Guards against a hang: a second upstream gets its chance while the soft deadline can be met.
             patience = int(max(3 * home.expected(up, now), (self.soft_end - now) // 2))
             if now + patience + home.typical() < self.soft_end:
                 if home.parallel:
@@ -164,9 +170,9 @@
         up.flight -= 1
         home.zones[up.zone].flight -= 1
         home.flight -= 1
-        if outcome == TIMED_OUT:
+        if outcome == TIMED_OUT or (outcome == COMPLETED and took > LATE * self.method.soft):
             # A late end shrinks the window only where the upstream is no worse than the rest.
-            if up.took * home.crowd <= 1.2 * home.took * up.crowd:
+            if home.slowness(up, now) <= 1.2:
                 home.window = max(1.0, home.window * SHRINK)
         elif outcome == COMPLETED and home.flight + 2 > home.window:
             home.window *= GROW
@@ -202,10 +208,11 @@
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
         self.window = inf
+        # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
         # Until something is seen, an upstream is believed to finish two at once in the room there is.
-        soft = min(m.soft for m in self.methods) - self.slack
-        self.took, self.crowd, self.stamp = ROOM * soft, 2.0, now
-        self.ends, self.each = 1.0, ROOM * soft / 2
+        soft = ROOM * (min(m.soft for m in self.methods) - self.slack)
+        self.sums, self.stamp = [1.0, 2.0, soft, 4.0, 2 * soft], now
+        self.fit()
 
     def count(self) -> int:
         self.counter += 1
@@ -239,7 +246,7 @@
             self.window = max(2.0, THRESHOLD * ready / self.sidecars)
 
     def list_failed(self, now: int) -> None:
-        """The subscription broke or a call failed: ask again soon, then less often, never later than is allowed."""
+        """The subscription broke or a call failed: ask again soon, then less often, within what is allowed."""
         self.pending = self.following = False
         self.ask_at = now + int(self.ask_wait * self.span(0.5, 1.0))
         self.ask_wait = min(2 * self.ask_wait, self.ask_every // 2)
@@ -251,7 +258,7 @@
         return True
 
     def rebuild(self, now: int) -> None:
-        """Rotations of the ready upstreams that are not set aside; what is set aside wakes us when it returns."""
+        """Rotations of the ready upstreams that are not set aside; the others wake us when they return."""
         for zone in self.zones:
             zone.ring = []
         for up in self.ups:
@@ -261,7 +268,7 @@
     # --- the mechanism
 
     def choose(self, now: int, rpc: Rpc) -> Upstream | None:
-        """The design's path: drop the worst zone at the threshold, own zone first, else a draw; then rotation."""
+        """The design's path: drop the worst zone at the threshold; own zone first, else a draw; rotation."""
         worst, most = None, THRESHOLD
         open_zones = []
         for zone in self.zones:
@@ -322,9 +329,9 @@
         return up
 
     def cold_gap(self, age: float) -> int:
-        """Rule 4: this balancer's part of what a cold upstream can take, were all its equals to send the same."""
+        """Rule 4: this balancer's part of what a cold upstream can take, its equals sending the same."""
         share = self.cold_from + (1 - self.cold_from) * max(0, age) / self.cold
-        return int(self.sidecars * self.took / self.crowd / (self.fall_multiple * share))
+        return int(self.sidecars * self.sums[2] / self.sums[1] / (self.fall_multiple * share))
 
     def room(self, up: Upstream, now: int, left: int) -> bool:
         """Guards against crowding: one more only if it is expected back well within the time left."""
@@ -335,16 +342,30 @@
         expected = self.expected(up, now)
         return expected <= (left * ROOM if up.flight else left)
 
-    def expected(self, up: Upstream, now: int) -> float:
-        """How long one more transmission would take, from what each one in flight has cost lately."""
+    def fit(self) -> None:
+        """The line through what transmissions took at each number in flight."""
+        ends, crowd, took, square, both = self.sums
+        # The origin counts as one more point, so a balancer that only ever has one in flight assumes a queue.
+        spread = (ends + 1) * square - crowd * crowd
+        slope = ((ends + 1) * both - crowd * took) / spread if spread > 0 else 0.0
+        self.slope = min(max(slope, QUEUED * took / crowd), took / crowd)
+        self.base = (took - self.slope * crowd) / ends
+
+    def slowness(self, up: Upstream, now: int) -> float:
+        """What this upstream took over what was foreseen, with one usual RPC added for lack of evidence."""
         up.fade(now)
-        return (up.took + self.took / self.crowd) / (up.crowd + 1.0) * (up.flight + 1)
+        usual = self.base + self.slope
+        return (up.took + usual) / (up.foreseen + usual)
+
+    def expected(self, up: Upstream, now: int) -> float:
+        """How long one more transmission would take there."""
+        return self.slowness(up, now) * (self.base + self.slope * (up.flight + 1))
 
     def typical(self) -> float:
-        return self.each / self.ends
+        return self.sums[2] / self.sums[0]
 
     def last_resort(self, now: int, rpc: Rpc) -> Upstream | None:
-        """Nothing eligible and nothing out whose end would help: the ready upstream that returns first, one at a time."""
+        """Nothing eligible, nothing out to wait for: the ready upstream that returns first, one at a time."""
         best = None
         for up in self.ups:
             if up.state == READY and not up.flight and now >= up.cold_next and up not in rpc.tries \
@@ -358,25 +379,26 @@
         up.fade(now)
         if outcome in (COMPLETED, TIMED_OUT):
             up.took += took
-            up.crowd += crowd
-            keep = exp((self.stamp - now) / MEMORY) if now > self.stamp else 1.0
-            self.took, self.crowd, self.stamp = self.took * keep + took, self.crowd * keep + crowd, now
-            self.ends, self.each = self.ends * keep + 1, self.each * keep + took
+            up.foreseen += self.base + self.slope * crowd
+            keep = exp((self.stamp - now) / MEMORY)
+            seen = (1, crowd, took, crowd * crowd, crowd * took)
+            self.sums, self.stamp = [old * keep + new for old, new in zip(self.sums, seen, strict=True)], now
+            self.fit()
         if outcome == COMPLETED:
             up.good += 1
             up.trial = False
         elif outcome in (FAILED, TIMED_OUT, DROPPED):
             up.bad += 1
-        # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that outweigh
-        # the good ones, or one connection refused, set the upstream aside.
-        if outcome == UNCONNECTED or (up.bad > 1.5 and up.bad > up.good) or (up.trial and outcome != COMPLETED):
+        # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that
+        # outweigh the good ones, or one connection refused, set the upstream aside.
+        if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or (up.trial and outcome != COMPLETED):
             self.set_aside(now, up, outcome == UNCONNECTED)
 
     def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
         ring = self.zones[up.zone].ring
         if up.state != READY or up.aside_until > now:
             return
-        # Guards against a fault of our own side or of everything at once: at most half is set aside on suspicion.
+        # Guards against a fault of our own side, or of all at once: at most half is set aside on suspicion.
         ready = sum(1 for u in self.ups if u.state == READY)
         aside = sum(1 for u in self.ups if u.state == READY and u.aside_until > now)
         if not certain and 2 * (aside + 1) > ready:
@@ -390,7 +412,7 @@
     # --- holding, and when to answer exhausted
 
     def hold(self, now: int, rpc: Rpc) -> tuple[int, int] | None:
-        """No room anywhere: wait for an end, dearest first, while the wait can be expected to end in an answer."""
+        """No room anywhere: wait for an end, dearest first, while the wait should end in an answer."""
         if rpc.held is not None:
             return None if now < rpc.held[2] else rpc.final(now)
         typical = self.typical()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -25,14 +25,12 @@
     b = balancer(settings(zones=2, az=0), [(0, 0), (1, 1)])
     for upstream, flight in ((0, 2), (1, 3)):
         b.ups[upstream].flight = b.zones[upstream].flight = flight
-    b.took = 0.0
     assert b.take(0, 0, 9000).decide(0)[0] == 0
 
 
 def test_an_upstream_well_above_the_mean_is_passed_over():
     b = balancer(settings(), [(0, 0), (1, 0), (2, 0)])
     b.ups[1].flight = b.zones[0].flight = 4
-    b.took = 0.0
     assert [b.take(0, 0, 9000).decide(0)[0] for _ in range(3)].count(1) == 0
 
 
