--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -246,7 +246,7 @@
             self.window = max(2.0, THRESHOLD * ready / self.sidecars)
 
     def list_failed(self, now: int) -> None:
-        """The subscription broke or a call failed: ask again soon, then less often, within what is allowed."""
+        """The subscription broke or a call failed: ask again soon, then less often, within what is set."""
         self.pending = self.following = False
         self.ask_at = now + int(self.ask_wait * self.span(0.5, 1.0))
         self.ask_wait = min(2 * self.ask_wait, self.ask_every // 2)
