--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -1,6 +1,8 @@
 """The batch protocol on a pair of byte streams."""
+from base64 import b64decode, b64encode
 from math import ceil, floor, inf
 from typing import BinaryIO
+from zlib import crc32
 
 import orjson
 
@@ -26,7 +28,7 @@
     "teardown": (SIDECAR,),
     "accepted": (SIDECAR, ("txn", (int,))),
     "echo": (SIDECAR, ("upstream", (str,)), ("how", (str,))),
-    "inbox": (SIDECAR,),
+    "inbox": (SIDECAR, ("who", (int,))),
 }
 ROW = (("upstream", (str,)),)
 
@@ -121,7 +123,8 @@
             if state is None:
                 raise BadInputError("rows.phase", f"{row['phase']!r} is unknown")
             rows.append((self.upstream(row["upstream"]), index_below(row, "locality", self.zones), state,
-                         tenths(optional(row, "start_time", NUMBER, 0)), optional(row, "stripe", (int,), 0)))
+                         tenths(optional(row, "start_time", NUMBER, 0)), optional(row, "stripe", (int,), 0),
+                         crc32(row["upstream"].encode())))
         self.balancer.list_changed(now, rows, kind != "D", kind != "C")
 
     def submit(self, event: dict, now: int, lists: dict, out: list) -> None:
@@ -154,7 +157,14 @@
     def ignore(self, event: dict, now: int, lists: dict, out: list) -> None:
         pass
 
-    accepted = echo = inbox = ignore
+    accepted = echo = ignore
+
+    def inbox(self, event: dict, now: int, lists: dict, out: list) -> None:
+        try:
+            contents = b64decode(optional(event, "contents", (str,), ""), validate=True)
+        except ValueError as wrong:
+            raise BadInputError("contents", f"not base64 ({wrong})") from wrong
+        self.balancer.heard(now, event["who"], contents)
 
     # --- answers
 
@@ -184,6 +194,9 @@
             self.answer_for(rpc, now, out)
         if balancer.wants_list(now):
             self.say(out, "follow", active=True)
+        told = balancer.tells(now)
+        if told is not None:
+            self.say(out, "write_peer", target=None, contents=b64encode(told).decode())
         wake = balancer.wake_at()
         if wake < self.armed:
             self.armed = wake
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -2,18 +2,20 @@
 
 How to call it (the interface is defined here, by the public methods of `Balancer` and `Rpc`):
   b = Balancer(settings, seed, now)       settings: a plain map; upstreams, methods, zones are small indices
-  b.list_changed(now, rows, whole, asked) rows (upstream, zone, state, started, cell); b.list_failed(now)
+  b.list_changed(now, rows, whole, asked) rows (upstream, zone, state, started, cell, mark); b.list_failed(now)
   rpc = b.take(now, method, give_up_at, tag)  a handle; rpc.decide(now) then says what to do with it:
       None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
   rpc.ended(now, tx, outcome, took, settled)   one transmission ended: returns the transmissions to stop
   rpc.gone(now)                           the client has left
   b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
+  b.tells(now)                            bytes for all other sidecars, or None; b.heard(now, sidecar, bytes)
   b.wants_list(now)                       True: subscribe to the list of upstreams now
 """
 from bisect import insort
 from heapq import heappop, heappush
 from math import exp, inf
 from random import Random
+from struct import iter_unpack, pack
 
 EXHAUSTED, ERRORED = -1, -2
 # States of an upstream in the list, and ways a transmission ends. The first three prove that it never ran.
@@ -27,6 +29,7 @@
 MARGIN = 1.0            # passed over if more than this above the zone's mean: one RPC is chance, two are not
 ROOM = 0.5              # an upstream takes one more while half the time left is expected to do for it
 
+TELLING = 0.002         # of an RPC's payoff may go into telling the other sidecars: a fifth of a point in 100
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 LATE = 0.7              # of the soft deadline: slower ends count as late
 GROW, SHRINK = 1.05, 0.85  # the window holds where one end in four or five is late, whatever its size
@@ -34,12 +37,13 @@
 
 class Upstream:
     """One server as this balancer has seen it."""
-    __slots__ = ("index", "zone", "cell", "state", "started", "flight", "took", "foreseen", "good", "bad",
+    __slots__ = ("index", "zone", "cell", "state", "started", "flight", "others", "mark", "took", "foreseen", "good", "bad",
                  "stamp", "aside_until", "trial", "cold_next")
 
     def __init__(self, index: int) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
-        self.started = self.flight = 0
+        self.started = self.flight = self.others = 0
+        self.mark = None
         self.forget()
 
     def forget(self) -> None:
@@ -159,7 +163,7 @@
         up.flight += 1
         home.zones[up.zone].flight += 1
         home.flight += 1
-        self.out[len(self.tries)] = up.flight
+        self.out[len(self.tries)] = up.flight + up.others
         self.tries.append(up)
         self.sent.append(now)
         return up.index, max(1, limit)
@@ -204,6 +208,10 @@
         self.asks, self.ask_every = settings["membership_mode"] == "on_request", int(rules["ask_every"] * 10)
         self.following, self.pending, self.ask_at, self.ask_wait = False, False, now, SECOND
         self.ups: list[Upstream] = []
+        self.marks: dict[int, Upstream] = {}    # by what all sidecars call an upstream
+        self.told: dict[int, tuple] = {}        # by sidecar: when it told, and its counts
+        self.peer_price = settings["prices"].get("peer", 0.0) if limits["may_tell"] else None
+        self.credit = 0.0
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
@@ -211,6 +219,7 @@
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
         # Until something is seen, an upstream is believed to finish two at once in the room there is.
         soft = ROOM * (min(m.soft for m in self.methods) - self.slack)
+        self.shortest = soft / ROOM
         self.sums, self.stamp = [1.0, 2.0, soft, 4.0, 2 * soft], now
         self.fit()
 
@@ -228,7 +237,7 @@
             for up in self.ups:
                 if up.index not in named:
                     up.state = REMOVED
-        for index, zone, state, started, cell in rows:
+        for index, zone, state, started, cell, mark in rows:
             while len(self.ups) <= index:
                 self.ups.append(Upstream(len(self.ups)))
             up = self.ups[index]
@@ -239,7 +248,8 @@
                 self.zones[zone].flight += up.flight
             if started != up.started:
                 up.forget()
-            up.zone, up.cell, up.state, up.started = zone, cell, state, started
+            up.zone, up.cell, up.state, up.started, up.mark = zone, cell, state, started, mark
+            self.marks[mark] = up
         self.rebuild(now)
         if self.window == inf:
             ready = sum(len(zone.ring) for zone in self.zones)
@@ -340,7 +350,7 @@
         if now < up.cold_next:
             return False
         expected = self.expected(up, now)
-        return expected <= (left * ROOM if up.flight else left)
+        return expected <= (min(left, self.shortest) * ROOM if up.flight else left)
 
     def fit(self) -> None:
         """The line through what transmissions took at each number in flight."""
@@ -359,7 +369,7 @@
 
     def expected(self, up: Upstream, now: int) -> float:
         """How long one more transmission would take there."""
-        return self.slowness(up, now) * (self.base + self.slope * (up.flight + 1))
+        return self.slowness(up, now) * (self.base + self.slope * (up.flight + up.others + 1))
 
     def typical(self) -> float:
         return self.sums[2] / self.sums[0]
@@ -373,6 +383,33 @@
                 best = up
         return best and self.chosen(best, now)
 
+    # --- what the sidecars tell each other, where they may
+
+    def tells(self, now: int) -> bytes | None:
+        """Own counts of what is in flight, as often as a small part of the price of a message per RPC allows."""
+        if self.peer_price is None or self.sidecars < 2:
+            return None
+        busy = [up for up in self.ups if up.flight and up.state != REMOVED][:50]
+        cost = (len(busy) * 5 + 1) * (self.sidecars - 1) * self.peer_price / 256
+        if self.credit < cost:
+            return None
+        self.credit = 0.0
+        return b"".join(pack("<IB", up.mark, min(255, up.flight)) for up in busy) or b"\0"
+
+    def heard(self, now: int, sidecar: int, contents: bytes) -> None:
+        """Counts that are lost or late do no harm: they stand for what the next message would replace, or 2 s."""
+        self.forget_told(now, sidecar)
+        counts = [(self.marks[mark], flight) for mark, flight in iter_unpack("<IB", contents[:len(contents) // 5 * 5])
+                  if mark in self.marks]
+        for up, flight in counts:
+            up.others += flight
+        self.told[sidecar] = now, counts
+
+    def forget_told(self, now: int, sidecar: int | None = None) -> None:
+        for other in [o for o, (at, _) in self.told.items() if o == sidecar or at < now - 2 * SECOND]:
+            for up, flight in self.told.pop(other)[1]:
+                up.others -= flight
+
     # --- is an upstream well
 
     def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int) -> None:
@@ -440,10 +477,14 @@
     def take(self, now: int, method: int, give_up_at: int, tag: object = None) -> Rpc:
         # One further transmission for ten RPCs: enough for single faults, too little for a storm.
         self.spare = min(10.0, self.spare + 0.1)
+        if self.peer_price is not None:
+            self.credit += TELLING
         return Rpc(self, self.methods[method], now, give_up_at, tag)
 
     def due(self, now: int):
         """Yields the handles that should be asked again, each before the next is looked for."""
+        if self.told:
+            self.forget_told(now)
         while self.alarms and self.alarms[0][0] <= now:
             rpc = heappop(self.alarms)[2]
             if rpc is None:
