A window for each zone, so that a short own zone overflows instead of refusing

Cause: with few RPCs in flight at each sidecar the count per ready server never reaches the threshold, the one window shrinks on the own zone's late ends, and RPCs are refused while the other zones idle (4% of sends went there). Told from overload of everything by the sends per zone and their late share.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -62,10 +62,10 @@
 
 class Zone:
     """The rotation of one zone."""
-    __slots__ = ("ring", "turn", "flight")
+    __slots__ = ("ring", "turn", "flight", "window", "next_at")
 
     def __init__(self, turn: float) -> None:
-        self.ring, self.turn, self.flight = [], turn, 0
+        self.ring, self.turn, self.flight, self.window, self.next_at = [], turn, 0, inf, 0
 
 
 class Method:
@@ -140,7 +140,7 @@
                 repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
                                 and home.spare >= 1)):
             return None if self.out else self.final(now)
-        up = home.choose(now, self) if home.flight < home.window or not home.flight else None
+        up = home.choose(now, self)
         if up is not None:
             return self.transmit(now, up, repeat)
         return None if self.out else home.hold(now, self)
@@ -162,7 +162,10 @@
                 else:
                     limit = min(limit, patience)
         up.flight += 1
-        home.zones[up.zone].flight += 1
+        zone = home.zones[up.zone]
+        zone.flight += 1
+        if zone.window < 1:
+            zone.next_at = now + int(home.typical() / zone.window)
         home.flight += 1
         self.out[len(self.tries)] = up.flight + up.others
         self.tries.append(up)
@@ -171,16 +174,17 @@
 
     def ended(self, now: int, tx: int, outcome: int, took: int, settled: bool) -> list[int]:
         home, up = self.home, self.tries[tx]
+        zone = home.zones[up.zone]
         crowd = self.out.pop(tx)
         up.flight -= 1
-        home.zones[up.zone].flight -= 1
+        zone.flight -= 1
         home.flight -= 1
         if outcome == TIMED_OUT or (outcome == COMPLETED and took > LATE * self.method.soft):
             # A late end shrinks the window only where the upstream is no worse than the rest.
-            if home.slowness(up, now) <= 1.2:
-                home.window = max(1.0, home.window * SHRINK)
-        elif outcome == COMPLETED and home.flight + 2 > home.window:
-            home.window *= GROW
+            if home.ordinary(up, zone, now):
+                zone.window = max(0.25, zone.window * SHRINK)
+        elif outcome == COMPLETED and zone.flight + 1 >= zone.window:
+            zone.window *= GROW
         home.learn(now, up, outcome, took, crowd)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
@@ -216,7 +220,6 @@
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
-        self.window = inf
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
         # Until something is seen, an upstream is believed to finish two at once in the room there is.
         soft = ROOM * (min(m.soft for m in self.methods) - self.slack)
@@ -252,9 +255,9 @@
             up.zone, up.cell, up.state, up.started, up.mark = zone, cell, state, started, mark
             self.marks[mark] = up
         self.rebuild(now)
-        if self.window == inf:
-            ready = sum(len(zone.ring) for zone in self.zones)
-            self.window = max(2.0, 3 * ready / self.sidecars)
+        for zone in self.zones:
+            if zone.window == inf and zone.ring:
+                zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
     def list_failed(self, now: int) -> None:
         """The subscription broke or a call failed: ask again soon, then less often, within what is set."""
@@ -318,6 +321,8 @@
 
     def rotate(self, zone: Zone, now: int, rpc: Rpc, left: int) -> Upstream | None:
         """The next in rotation that is not well above the mean, then any that has room."""
+        if zone.flight >= zone.window and (zone.flight or now < zone.next_at):
+            return None
         ring = zone.ring
         size = len(ring)
         start = int(zone.turn * size) if isinstance(zone.turn, float) else zone.turn % size
@@ -372,6 +377,11 @@
         """How long one more transmission would take there."""
         return self.slowness(up, now) * (self.base + self.slope * (up.flight + up.others + 1))
 
+    def ordinary(self, up: Upstream, zone: Zone, now: int) -> bool:
+        """No worse than others: a slow server among sound ones is its own fault, not the crowd's."""
+        slow = self.slowness(up, now)
+        return slow <= 1.2 or slow * len(zone.ring) <= 1.2 * sum(self.slowness(u, now) for u in zone.ring)
+
     def typical(self) -> float:
         return self.sums[2] / self.sums[0]
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -25,6 +25,7 @@
     b = balancer(settings(zones=2, az=0), [(0, 0), (1, 1)])
     for upstream, flight in ((0, 3), (1, 4)):
         b.ups[upstream].flight = b.zones[upstream].flight = flight
+        b.zones[upstream].window = 9
     assert b.take(0, 0, 9000).decide(0)[0] == 0
 
 
