--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -140,10 +140,18 @@
                 repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
                                 and home.spare >= 1)):
             return None if self.out else self.final(now)
-        up = home.choose(now, self)
+        # Crossing has a price: the own zone gets that share of the soft deadline to make room first.
+        stay = self.come + int(home.cross_price * method.soft)
+        up = home.choose(now, self, now < stay)
+        if up is None and now < stay and not self.out:
+            if home.hold(now, self, stay):
+                return None
+            up = home.choose(now, self, False)
         if up is not None:
             return self.transmit(now, up, repeat)
-        return None if self.out else home.hold(now, self)
+        if self.out or home.hold(now, self, now):
+            return None
+        return self.final(now)
 
     def transmit(self, now: int, up: Upstream, repeat: bool) -> tuple[int, int]:
         home, method = self.home, self.method
@@ -216,7 +224,7 @@
         self.marks: dict[int, Upstream] = {}    # by what all sidecars call an upstream
         self.told: dict[int, tuple] = {}        # by sidecar: when it told, and its counts
         self.peer_price = settings["prices"].get("peer", 0.0) if limits["may_tell"] else None
-        self.credit = 0.0
+        self.credit, self.cross_price = 0.0, settings["prices"].get("cross_zone", 0.0)
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
@@ -281,7 +289,7 @@
 
     # --- the mechanism
 
-    def choose(self, now: int, rpc: Rpc) -> Upstream | None:
+    def choose(self, now: int, rpc: Rpc, stay: bool) -> Upstream | None:
         """The design's path: drop the worst zone at the threshold; own zone first, else a draw; rotation."""
         worst, most = None, THRESHOLD
         open_zones = []
@@ -299,6 +307,8 @@
             up = self.rotate(own, now, rpc, left)
             if up is not None:
                 return up
+            if stay:
+                return None
             open_zones.remove(own)
         # A zone without room is left out and the draw repeated.
         while open_zones:
@@ -459,20 +469,22 @@
 
     # --- holding, and when to answer exhausted
 
-    def hold(self, now: int, rpc: Rpc) -> tuple[int, int] | None:
+    def hold(self, now: int, rpc: Rpc, until: int) -> bool:
         """No room anywhere: wait for an end, dearest first, while the wait should end in an answer."""
         if rpc.held is not None:
-            return None if now < rpc.held[2] else rpc.final(now)
+            return now < rpc.held[2]
         typical = self.typical()
         last = int(rpc.soft_end - typical / 2)
         place = (-rpc.method.payoff, self.count(), last, rpc)
         ahead = sum(1 for other in self.held if other[0] <= place[0]) + 1
         if not self.flight or now + ahead * typical / self.flight > last:
-            return rpc.final(now)
+            return False
         rpc.held = place
         insort(self.held, place)
         heappush(self.alarms, (last, self.count(), rpc))
-        return None
+        if until > now:
+            heappush(self.alarms, (until, self.count(), rpc))
+        return True
 
     def unhold(self, rpc: Rpc) -> None:
         if rpc.held is not None:
