--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -13,6 +13,7 @@
 OUTCOMES = {"S": decide.COMPLETED, "E": decide.FAILED, "F": decide.TURNED_AWAY, "T": decide.TIMED_OUT,
             "C": decide.UNCONNECTED, "R": decide.DROPPED, "X": decide.STOPPED, "N": decide.UNSENT}
 NUMBER = (int, float)
+RETRY = 2    # the bit of `options` that marks a client's retry
 SIDECAR = ("sidecar_id", (int,))
 # The fields each message must carry; all others are optional and unknown ones are skipped.
 REQUIRED = {
@@ -132,7 +133,8 @@
         if txn in self.rpcs:
             raise BadInputError("txn", f"{txn} was submitted before")
         rpc = self.rpcs[txn] = self.balancer.take(
-            now, index_below(event, "profile", self.methods), floor(event["not_after"] * 10), txn)
+            now, index_below(event, "profile", self.methods), floor(event["not_after"] * 10),
+            bool(optional(event, "options", (int,), 0) & RETRY), txn)
         self.answer_for(rpc, now, out)
 
     def answer(self, event: dict, now: int, lists: dict, out: list) -> None:
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -4,7 +4,7 @@
   b = Balancer(settings, seed, now)       settings: a plain map; upstreams, methods, zones are small indices
   b.list_changed(now, rows, whole, asked) of (upstream, zone, state, started, cell, mark)
   b.list_failed(now)                      the call for the list failed, or the subscription broke
-  rpc = b.take(now, method, give_up_at, tag)  a handle; rpc.decide(now) then says what to do with it:
+  rpc = b.take(now, method, give_up_at, retry, tag)  a handle; rpc.decide(now) then says what to do with it:
       None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
   rpc.ended(now, tx, outcome, took, settled)   one transmission ended: returns the transmissions to stop
   rpc.gone(now)                           the client has left
@@ -70,10 +70,12 @@
 
 class Method:
     """What the settings say of one method, times in tenths of a millisecond."""
-    __slots__ = ("soft", "hard", "payoff", "late", "retriable", "deduped", "group", "window", "further")
+    __slots__ = ("soft", "hard", "payoff", "late", "retriable", "deduped", "group", "window", "further",
+                 "patience")
 
     def __init__(self, settings: dict, top_payoff: float, most: int) -> None:
         self.soft, self.hard = int(settings["soft_deadline"] * 10), int(settings["hard_deadline"] * 10)
+        self.patience = 0       # the longest that a client has been seen to wait for one try
         self.payoff, self.late = settings["payoff"], settings["overdue_payoff"]
         self.retriable = settings["idempotency"] == "repeatable"
         self.deduped = settings["idempotency"] == "by_key"
@@ -84,12 +86,18 @@
 
 
 class Rpc:
-    """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's own mark."""
+    """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
                  "again_at", "held", "done")
 
-    def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, tag: object) -> None:
-        self.home, self.method, self.come, self.tag = home, method, now, tag
+    def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
+                 tag: object) -> None:
+        self.home, self.method, self.tag = home, method, tag
+        # Guards against work for nobody: a marked retry whose try is cut short by the hard deadline tells when
+        # the first try came, and the soft deadline runs from there.
+        method.patience = max(method.patience, give_up_at - now)
+        cut = retry and give_up_at - now < method.patience - home.slack
+        self.come = now = min(now, give_up_at - method.hard) if cut else now
         # An answer is wanted two ticks early, so that a time-out is still answered before the deadline.
         self.soft_end = min(now + method.soft, give_up_at) - home.slack
         self.end = give_up_at - home.slack if method.late else self.soft_end
@@ -497,12 +505,12 @@
 
     # --- calls of the adapter
 
-    def take(self, now: int, method: int, give_up_at: int, tag: object = None) -> Rpc:
+    def take(self, now: int, method: int, give_up_at: int, retry: bool = False, tag: object = None) -> Rpc:
         # One further transmission for ten RPCs: enough for single faults, too little for a storm.
         self.spare = min(10.0, self.spare + 0.1)
         if self.peer_price is not None:
             self.credit += TELLING
-        return Rpc(self, self.methods[method], now, give_up_at, tag)
+        return Rpc(self, self.methods[method], now, give_up_at, retry, tag)
 
     def due(self, now: int):
         """Yields the handles that should be asked again, each before the next is looked for."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,7 +1,7 @@
 """The design's mechanism, on the module alone."""
 from collections import Counter
 
-from helpers import balancer, settings
+from helpers import balancer, method, settings
 
 from shedgrade import decide
 
@@ -45,3 +45,11 @@
 
 def test_nothing_listed_is_exhausted_at_once():
     assert balancer(settings(), []).take(0, 0, 9000).decide(0)[0] == decide.EXHAUSTED
+
+
+def test_a_retry_cut_short_by_the_hard_deadline_is_measured_from_its_first_try():
+    b = balancer(settings([method(soft=500.0, hard=1000.0)]), [(0, 0)])
+    b.take(0, 0, 6000).decide(0)
+    assert b.take(5500, 0, 10000, True).decide(5500)[0] == decide.EXHAUSTED
+    assert b.take(5500, 0, 10000, False).decide(5500)[0] == 0
+    assert b.take(5500, 0, 11500, True).decide(5500)[0] == 0
