--- a/shedgrade/benchlink/__main__.py
+++ b/shedgrade/benchlink/__main__.py
@@ -1,9 +1,11 @@
 import sys
 
-from shedgrade.benchlink.wire import BadInputError, serve
+from shedgrade.benchlink.wire import BadInputError, DecisionError, serve
 
 if __name__ == "__main__":
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except BadInputError as bad:
-        sys.exit(f"benchlink: {bad}")
+    except (BadInputError, DecisionError) as failure:
+        sys.exit(f"benchlink: {failure}")
+    except BrokenPipeError:
+        sys.exit("benchlink: the reader of the replies is gone")
--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -47,6 +47,9 @@
 class DecisionError(Exception):
     """The decisions failed; the text goes out as the wire's `fault`."""
 
+    def __str__(self) -> str:
+        return f"sidecar {self.args[0]}: {self.args[1]}"
+
 
 def check(message: dict, fields: tuple, where: str = "") -> None:
     for name, types in fields:
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -93,8 +93,8 @@
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object) -> None:
         self.home, self.method, self.tag = home, method, tag
-        # Guards against work for nobody: a marked retry whose try is cut short by the hard deadline tells when
-        # the first try came, and the soft deadline runs from there.
+        # Guards against work for nobody: a marked retry that the hard deadline cuts short tells when its
+        # first try came, and the soft deadline runs from there.
         method.patience = max(method.patience, give_up_at - now)
         cut = retry and give_up_at - now < method.patience - home.slack
         self.come = now = min(now, give_up_at - method.hard) if cut else now
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,134 @@
+"""One short test for each failure found: what is guarded against, on the module alone."""
+from helpers import balancer, method, settings
+
+from shedgrade import decide
+
+ONE = [(0, 0)]
+
+
+def send(b, now=0, number=0, patience=9000):
+    rpc = b.take(now, number, now + patience)
+    return rpc, rpc.decide(now)
+
+
+def test_a_refused_connection_sets_aside_for_two_to_three_seconds_and_returns_one_at_a_time():
+    b = balancer(settings(), [(0, 0), (1, 0)])
+    rpc, (up, _) = send(b)
+    rpc.ended(10, 0, decide.UNCONNECTED, 10, False)
+    assert rpc.decide(10)[0] == 1 - up
+    assert {send(b, 10)[1][0] for _ in range(2)} == {1 - up}
+    back = b.ups[up].aside_until
+    assert 20000 <= back - 10 <= 30000
+    assert list(b.due(back)) == []
+    b.zones[0].window = 99
+    assert [send(b, back)[1][0] for _ in range(6)].count(up) == 1
+
+
+def test_fast_errors_set_aside_and_at_most_half_of_all():
+    b = balancer(settings([method("once")]), [(up, 0) for up in range(4)])
+    for now in range(40):
+        rpc, answer = send(b, now)
+        if answer[0] >= 0:
+            rpc.ended(now, 0, decide.FAILED, 1, False)
+            rpc.decide(now)
+    assert sum(up.aside_until > 40 for up in b.ups) == 2
+
+
+def test_late_ends_shrink_the_window_of_their_zone_only_where_the_upstream_is_ordinary():
+    b = balancer(settings(zones=2), [(0, 0), (1, 0), (2, 1)])
+    before = [zone.window for zone in b.zones]
+    rpc, (up, _) = send(b)
+    rpc.ended(4000, 0, decide.TIMED_OUT, 4000, False)
+    assert b.zones[0].window < before[0] and b.zones[1].window == before[1]
+    after = b.zones[0].window
+    b.ups[up].took, b.ups[up].foreseen, b.ups[up].stamp = 4000.0, 100.0, 4000
+    rpc.tries.clear()
+    rpc, _ = send(b, 4000)
+    while rpc.tries[0].index != up:
+        rpc, _ = send(b, 4000)
+    rpc.ended(8000, 0, decide.TIMED_OUT, 4000, False)
+    assert b.zones[0].window == after
+
+
+def test_a_full_own_zone_is_waited_for_and_then_left_for_another():
+    b = balancer(settings(zones=2, prices={"cross_zone": 0.2}), [(0, 0), (1, 1)])
+    b.zones[0].window = 1.0
+    assert send(b)[1][0] == 0
+    rpc, answer = send(b)
+    assert answer is None and b.wake_at() == 1000
+    assert [r for r in b.due(1000) if r.decide(1000)[0] == 1] == [rpc]
+
+
+def test_the_dearest_is_held_first_and_hopeless_ones_are_exhausted_at_once():
+    b = balancer(settings([method(payoff=1.0), method(payoff=5.0)]), ONE)
+    b.zones[0].window = 1.0
+    out, _ = send(b)
+    cheap, dear = send(b)[0], send(b, 0, 1)[0]
+    assert [rpc for rpc in (cheap, dear) if rpc.done] == []
+    out.ended(20, 0, decide.COMPLETED, 20, True)
+    assert next(b.due(20)) is dear and dear.decide(20)[0] == 0
+    b.zones[0].window, b.sums = 1.0, [100.0, 100.0, 400000.0, 100.0, 400000.0]
+    assert send(b, 20)[1][0] == decide.EXHAUSTED
+
+
+def test_a_cold_upstream_gets_no_more_than_this_balancers_part_of_its_budget():
+    conf = settings(balancers=4)
+    b = balancer(conf, [])
+    b.list_changed(50000, [(0, 0, decide.READY, 50000, 0, 0)], True, True)
+    b.zones[0].window, sends = 99.0, []
+    for now in range(50000, 150000, 20):
+        rpc, answer = send(b, now)
+        if answer is not None and answer[0] == 0:
+            sends.append(now)
+            rpc.ended(now, 0, decide.COMPLETED, 10, True)
+    span, rules, rate = 20000, conf["rules"], 1.5 / 10   # one RPC a 10/1.5 tenths of a ms, as learned
+    for at in sends:
+        share = rules["cold_from"] + (1 - rules["cold_from"]) * min(1.0, (at + span - 50000) / 100000)
+        count = sum(at <= other < at + span for other in sends)
+        assert count <= 1 + rules["fall_multiple"] * share * rate * span / 4
+    assert len(sends) > 100
+
+
+def test_counts_told_by_others_take_room_and_are_forgotten():
+    b = balancer(settings(limits={"may_tell": True}, prices={"peer": 0.01}, balancers=2), [(0, 0), (7, 0)])
+    other = balancer(settings(limits={"may_tell": True}, prices={"peer": 0.01}, balancers=2), [(3, 0)])
+    other.ups[3].mark = 7
+    other.ups[3].flight, other.credit = 5, 1.0
+    b.heard(0, 1, other.tells(0))
+    assert b.ups[7].others == 5 and b.ups[0].others == 0
+    b.heard(1, 1, b"\0")
+    assert b.ups[7].others == 0
+    b.heard(2, 1, other.tells(2) or b"\x07\0\0\0\x05")
+    assert list(b.due(30000)) == [] and b.ups[7].others == 0
+
+
+def test_a_failed_call_for_the_list_is_repeated_within_what_is_allowed():
+    b = decide.Balancer(settings(membership_mode="on_request"), 1, 0)
+    now, asked = 0, []
+    while now < 600000:
+        assert b.wants_list(now) and not b.wants_list(now)
+        asked.append(now)
+        b.list_failed(now)
+        now = int(b.wake_at())
+    assert max(b - a for a, b in zip(asked, asked[1:], strict=False)) <= 50000
+    b.wants_list(now)
+    b.list_changed(now, [], False, True)
+    assert not b.wants_list(now + 999999)
+
+
+def test_a_restarted_upstream_starts_with_no_history():
+    b = balancer(settings(), ONE)
+    rpc, _ = send(b)
+    rpc.ended(5, 0, decide.UNCONNECTED, 5, False)
+    b.list_changed(9, [(0, 0, decide.READY, 8, 0, 0)], False, True)
+    assert b.zones[0].ring == [b.ups[0]] and not b.ups[0].trial
+
+
+def test_a_slow_retriable_rpc_gets_a_second_copy_and_the_loser_is_stopped():
+    b = balancer(settings([method(soft=900.0)], limits={"parallel_tries": True}), [(0, 0), (1, 0)])
+    rpc, (first, _) = send(b)
+    at = b.wake_at()
+    assert 0 < at < 9000
+    (again,) = list(b.due(at))
+    assert again is rpc and rpc.decide(at)[0] == 1 - first
+    assert rpc.ended(at + 9, 1, decide.COMPLETED, 9, True) == [0]
