--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -289,11 +289,15 @@
 
     def rebuild(self, now: int) -> None:
         """Rotations of the ready upstreams that are not set aside; the others wake us when they return."""
+        sizes = [len(zone.ring) for zone in self.zones]
         for zone in self.zones:
             zone.ring = []
         for up in self.ups:
             if up.state == READY and up.aside_until <= now:
                 self.zones[up.zone].ring.append(up)
+        for zone, size in zip(self.zones, sizes, strict=True):
+            if size and zone.ring:
+                zone.window *= len(zone.ring) / size
 
     # --- the mechanism
 
@@ -461,7 +465,6 @@
             self.set_aside(now, up, outcome == UNCONNECTED)
 
     def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
-        ring = self.zones[up.zone].ring
         if up.state != READY or up.aside_until > now:
             return
         # Guards against a fault of our own side, or of all at once: at most half is set aside on suspicion.
@@ -471,8 +474,7 @@
             return
         up.aside_until = now + int(self.span(2, 3) * SECOND)
         up.trial, up.good, up.bad = True, 0.0, 0.0
-        if up in ring:
-            ring.remove(up)
+        self.rebuild(now)
         heappush(self.alarms, (up.aside_until, self.count(), None))
 
     # --- holding, and when to answer exhausted
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -42,7 +42,7 @@
     assert b.zones[0].window < before[0] and b.zones[1].window == before[1]
     after = b.zones[0].window
     b.ups[up].took, b.ups[up].foreseen, b.ups[up].stamp = 4000.0, 100.0, 4000
-    rpc.tries.clear()
+    b.ups[up].good = 9.0
     rpc, _ = send(b, 4000)
     while rpc.tries[0].index != up:
         rpc, _ = send(b, 4000)
