--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -266,10 +266,14 @@
                 self.zones[zone].flight += up.flight
             elif up.zone is None:
                 self.zones[zone].flight += up.flight
-            if started != up.started:
+            fresh = started != up.started
+            if fresh:
                 up.forget()
             up.zone, up.cell, up.state, up.started, up.mark = zone, cell, state, started, mark
             self.marks[mark] = up
+            if fresh and self.is_cold(up, now):
+                # Not all sidecars at once: the first send comes at a random point of the first gap.
+                up.cold_next = now + int(self.chance() * self.cold_gap(now, up))
         self.rebuild(now)
         for zone in self.zones:
             if zone.window == inf and zone.ring:
@@ -361,15 +365,21 @@
         return over and self.chosen(over, now)
 
     def chosen(self, up: Upstream, now: int) -> Upstream:
-        age = now - up.started
-        if up.started and age < self.cold:
-            up.cold_next = now + self.cold_gap(age)
+        if self.is_cold(up, now):
+            up.cold_next = now + self.cold_gap(now, up)
         return up
 
-    def cold_gap(self, age: float) -> int:
-        """Rule 4: this balancer's part of what a cold upstream can take, its equals sending the same."""
-        share = self.cold_from + (1 - self.cold_from) * max(0, age) / self.cold
-        return int(self.sidecars * self.sums[2] / self.sums[1] / (self.fall_multiple * share))
+    def cold_gap(self, now: int, up: Upstream) -> int:
+        """Rule 4: the time between sends that keeps to our part of what a cold upstream can take."""
+        share = self.cold_from + (1 - self.cold_from) * max(0, now - up.started) / self.cold
+        # Half of the budget is shared out evenly, half by what each balancer sees end at a warm upstream.
+        even = self.sidecars * self.sums[2] / self.sums[1]
+        warm = sum(1 for other in self.ups if other.state == READY and not self.is_cold(other, now))
+        own = MEMORY * warm / (self.sums[0] * exp((self.stamp - now) / MEMORY)) if warm else inf
+        return int(min(even, own) / (self.fall_multiple / 2 * share))
+
+    def is_cold(self, up: Upstream, now: int) -> bool:
+        return up.started > 0 and now - up.started < self.cold
 
     def room(self, up: Upstream, now: int, left: int) -> bool:
         """Guards against crowding: one more only if it is expected back well within the time left."""
