--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -175,7 +175,8 @@
                 if home.parallel:
                     self.again_at = now + patience
                     heappush(home.alarms, (self.again_at, home.count(), self))
-                else:
+                elif up.bad > up.good:
+                    # Only where more has failed than completed lately: elsewhere the work cut off is lost.
                     limit = min(limit, patience)
         up.flight += 1
         zone = home.zones[up.zone]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -132,3 +132,12 @@
     (again,) = list(b.due(at))
     assert again is rpc and rpc.decide(at)[0] == 1 - first
     assert rpc.ended(at + 9, 1, decide.COMPLETED, 9, True) == [0]
+
+
+def test_without_parallel_tries_a_limit_before_the_soft_deadline_only_where_more_fails_than_completes():
+    b = balancer(settings([method(soft=900.0)]), ONE)
+    rpc, (_, limit) = send(b)
+    assert limit == 9000 - 20
+    rpc.ended(5, 0, decide.TIMED_OUT, 5, False)
+    assert rpc.decide(5)[0] == decide.EXHAUSTED
+    assert send(b, 5)[1][1] < 5000
