--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -30,6 +30,7 @@
 MARGIN = 0.5            # passed over if this far above the zone's mean in flight: half an RPC is not chance
 ROOM = 0.6              # an upstream takes one more while this much of the time left is expected to do for it
 
+WAIT = 0.5              # of the pace at which transmissions end counts for those that wait: most waits end well
 TELLING = 0.002         # of an RPC's payoff may go into telling the other sidecars: a fifth of a point in 100
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 LATE = 0.7              # of the soft deadline: slower ends count as late
@@ -88,7 +89,7 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done")
+                 "again_at", "held", "done", "turned")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object) -> None:
@@ -104,6 +105,7 @@
         # Per transmission: its upstream, and when it was sent (None once it is proved that it never ran).
         self.tries, self.sent, self.out = [], [], {}
         self.repeats, self.again_at, self.held, self.done = 0, None, None, False
+        self.turned = False     # overtaken while held, to be answered at once
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
@@ -148,6 +150,8 @@
                 repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
                                 and home.spare >= 1)):
             return None if self.out else self.final(now)
+        if self.turned:
+            return self.final(now)
         # Crossing has a price: the own zone gets that share of the soft deadline to make room first.
         stay = self.come + int(home.cross_price * method.soft)
         up = home.choose(now, self, now < stay)
@@ -498,11 +502,18 @@
         last = int(rpc.soft_end - typical / 2)
         place = (-rpc.method.payoff, self.count(), last, rpc)
         ahead = sum(1 for other in self.held if other[0] <= place[0]) + 1
-        if not self.flight or now + ahead * typical / self.flight > last:
+        # What is overtaken is told at once rather than left to sit until its time is up.
+        pace = WAIT * self.flight / typical
+        if not self.flight or now + ahead / pace > last:
             return False
         rpc.held = place
         insort(self.held, place)
         heappush(self.alarms, (last, self.count(), rpc))
+        tail = self.held[-1][3]
+        if tail is not rpc and now + len(self.held) / pace > tail.held[2]:
+            self.unhold(tail)
+            tail.turned = True
+            heappush(self.alarms, (now, self.count(), tail))
         if until > now:
             heappush(self.alarms, (until, self.count(), rpc))
         return True
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -141,3 +141,14 @@
     rpc.ended(5, 0, decide.TIMED_OUT, 5, False)
     assert rpc.decide(5)[0] == decide.EXHAUSTED
     assert send(b, 5)[1][1] < 5000
+
+
+def test_a_held_rpc_that_is_overtaken_past_its_time_is_exhausted_at_once():
+    b = balancer(settings([method(payoff=1.0), method(payoff=5.0)]), ONE)
+    b.zones[0].window, b.sums = 1.0, [100.0, 100.0, 80000.0, 100.0, 80000.0]
+    send(b)
+    cheap, answer = send(b)
+    assert answer is None and list(b.due(0)) == [cheap] and not cheap.done
+    dear = [send(b, 0, 1)[0] for _ in range(2)]
+    assert cheap in list(b.due(0)) and cheap.decide(0)[0] == decide.EXHAUSTED
+    assert not any(rpc.done for rpc in dear)
