--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -30,7 +30,7 @@
 MARGIN = 0.5            # passed over if this far above the zone's mean in flight: half an RPC is not chance
 ROOM = 0.6              # an upstream takes one more while this much of the time left is expected to do for it
 
-WAIT = 0.5              # of the pace at which transmissions end counts for those that wait: most waits end well
+WAIT = 0.5              # of the pace at which transmissions end is counted on: most waits end well
 TELLING = 0.002         # of an RPC's payoff may go into telling the other sidecars: a fifth of a point in 100
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 LATE = 0.7              # of the soft deadline: slower ends count as late
