--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -162,7 +162,10 @@
     def ignore(self, event: dict, now: int, lists: dict, out: list) -> None:
         pass
 
-    accepted = echo = ignore
+    echo = ignore
+
+    def accepted(self, event: dict, now: int, lists: dict, out: list) -> None:
+        self.rpc(event).started()
 
     def inbox(self, event: dict, now: int, lists: dict, out: list) -> None:
         try:
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -7,6 +7,7 @@
   rpc = b.take(now, method, give_up_at, retry, tag)  a handle; rpc.decide(now) then says what to do with it:
       None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
   rpc.ended(now, tx, outcome, took, settled)   one transmission ended: returns the transmissions to stop
+  rpc.started()                           a streamed answer has begun
   rpc.gone(now)                           the client has left
   b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
   b.tells(now)                            bytes for all other sidecars, or None; b.heard(now, sidecar, bytes)
@@ -211,6 +212,10 @@
             self.sent[tx] = None
         return self.finish() if settled and not self.done else []
 
+    def started(self) -> None:
+        """A streamed answer has begun: this transmission is the client's now, and no other may follow."""
+        self.again_at = None
+
     def gone(self, now: int) -> list[int]:
         return self.finish()
 
@@ -228,7 +233,7 @@
         self.slack = 2 * int(settings["tick"] * 10)
         self.own, self.sidecars = settings["az"], settings["balancers"]
         self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
-        self.fall_multiple, self.fall_span = rules["fall_multiple"], rules["overload_for"] * 10
+        self.fall_multiple = rules["fall_multiple"]
         top = max((m["payoff"] for m in settings["methods"]), default=1)
         self.methods = [Method(m, top, self.most) for m in settings["methods"]]
         self.asks, self.ask_every = settings["membership_mode"] == "on_request", int(rules["ask_every"] * 10)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -152,3 +152,11 @@
     dear = [send(b, 0, 1)[0] for _ in range(2)]
     assert cheap in list(b.due(0)) and cheap.decide(0)[0] == decide.EXHAUSTED
     assert not any(rpc.done for rpc in dear)
+
+
+def test_no_second_copy_follows_a_streamed_answer_that_has_begun():
+    b = balancer(settings([method(soft=900.0)], limits={"parallel_tries": True}), [(0, 0), (1, 0)])
+    rpc, _ = send(b)
+    rpc.started()
+    at = b.wake_at()
+    assert [r.decide(at) for r in b.due(at)] == [None]
