--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -128,7 +128,8 @@
                 raise BadInputError("rows.phase", f"{row['phase']!r} is unknown")
             rows.append((self.upstream(row["upstream"]), index_below(row, "locality", self.zones), state,
                          tenths(optional(row, "start_time", NUMBER, 0)), optional(row, "stripe", (int,), 0),
-                         crc32(row["upstream"].encode())))
+                         crc32(row["upstream"].encode()), optional(row, "capacity_hint", NUMBER, 1),
+                         optional(row, "generation_hw", (int,), 0)))
         self.balancer.list_changed(now, rows, kind != "D", kind != "C")
 
     def submit(self, event: dict, now: int, lists: dict, out: list) -> None:
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -2,7 +2,7 @@
 
 How to call it (the interface is defined here, by the public methods of `Balancer` and `Rpc`):
   b = Balancer(settings, seed, now)       settings: a plain map; upstreams, methods, zones are small indices
-  b.list_changed(now, rows, whole, asked) of (upstream, zone, state, started, cell, mark)
+  b.list_changed(now, rows, whole, asked) of (upstream, zone, state, started, cell, mark, size, kind)
   b.list_failed(now)                      the call for the list failed, or the subscription broke
   rpc = b.take(now, method, give_up_at, retry, tag)  a handle; rpc.decide(now) then says what to do with it:
       None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
@@ -13,7 +13,7 @@
   b.tells(now)                            bytes for all other sidecars, or None; b.heard(now, sidecar, bytes)
   b.wants_list(now)                       True: subscribe to the list of upstreams now
 """
-from bisect import insort
+from bisect import bisect_left, insort
 from heapq import heappop, heappush
 from math import exp, inf
 from random import Random
@@ -26,9 +26,14 @@
 NEVER_RAN = (UNSENT, UNCONNECTED, TURNED_AWAY)
 
 SECOND = 10_000
-MEMORY = 5 * SECOND     # measures fade over 5 s: hundreds of RPCs of a busy balancer, a few of a light one
+MEMORY = 5 * SECOND     # measures fade over 5 s: hundreds of RPCs of a busy balancer
+LONGEST = 30 * SECOND   # or, for a light one, over what brings ENOUGH ends, up to this: few troubles last longer
+ENOUGH = 30             # ends: a mean of so many is within a fifth
 THRESHOLD = 3.0         # in flight per ready upstream at which a zone may be dropped: 2 to 4 make little odds
 MARGIN = 0.5            # passed over if this far above the zone's mean in flight: half an RPC is not chance
+EASY = 0.15             # of the shortest soft deadline: whatever is foreseen within it takes all its turns
+SWIFT = 0.7             # of the zone's mean time: faster upstreams take all turns, slower ones fewer of them
+VISITS = 16             # upstreams looked at for one choice at most: work does not grow with the fleet
 ROOM = 0.6              # an upstream takes one more while this much of the time left is expected to do for it
 
 WAIT = 0.5              # of the pace at which transmissions end is counted on: most waits end well
@@ -41,33 +46,51 @@
 class Upstream:
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "others", "mark", "took", "foreseen",
-                 "good", "bad", "stamp", "aside_until", "trial", "cold_next")
+                 "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
+                 "cold_turns", "cold_stamp")
 
-    def __init__(self, index: int) -> None:
+    def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
         self.started = self.flight = self.others = 0
-        self.mark = None
+        self.mark, self.size, self.kind, self.listed = None, 1.0, None, False
+        self.turns = self.cold_turns = turns
         self.forget()
 
     def forget(self) -> None:
         """Health of an earlier process says nothing of the next one."""
         self.took = self.foreseen = self.good = self.bad = 0.0
-        self.stamp = self.aside_until = self.cold_next = 0
+        self.stamp = self.aside_until = self.cold_stamp = 0
         self.trial = False
 
-    def fade(self, now: int) -> None:
+    def fade(self, now: int, memory: float) -> None:
         if now > self.stamp:
-            keep = exp((self.stamp - now) / MEMORY)
+            keep = exp((self.stamp - now) / memory)
             self.took, self.foreseen, self.stamp = self.took * keep, self.foreseen * keep, now
             self.good, self.bad = self.good * keep, self.bad * keep
 
 
 class Zone:
     """The rotation of one zone."""
-    __slots__ = ("ring", "turn", "flight", "window", "next_at")
+    __slots__ = ("ring", "turn", "flight", "window", "usual", "place")
 
-    def __init__(self, turn: float) -> None:
-        self.ring, self.turn, self.flight, self.window, self.next_at = [], turn, 0, inf, 0
+    def __init__(self, turn: float, place: int) -> None:
+        self.ring, self.turn, self.flight, self.window, self.usual, self.place = [], turn, 0, inf, 0.0, place
+
+    def full(self, rpc: "Rpc") -> bool:
+        """A window between two counts admits that part of the RPCs, each by its own luck."""
+        return self.flight + (rpc.luck + 0.618 * self.place) % 1 >= self.window
+
+    def leave(self, up: Upstream) -> None:
+        size = len(self.ring)
+        self.ring.remove(up)
+        if size > 1:
+            # Guards against a fleet that shrinks: a window that never held anything back need not begin to.
+            self.window = max(min(1.0, self.window), self.window * (size - 1) / size)
+
+    def join(self, up: Upstream) -> None:
+        self.ring.append(up)
+        if len(self.ring) > 1:
+            self.window *= len(self.ring) / (len(self.ring) - 1)
 
 
 class Method:
@@ -90,7 +113,7 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned")
+                 "again_at", "held", "done", "turned", "luck")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object) -> None:
@@ -107,6 +130,7 @@
         self.tries, self.sent, self.out = [], [], {}
         self.repeats, self.again_at, self.held, self.done = 0, None, None, False
         self.turned = False     # overtaken while held, to be answered at once
+        self.luck = home.chance()
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
@@ -186,8 +210,6 @@
         up.flight += 1
         zone = home.zones[up.zone]
         zone.flight += 1
-        if zone.window < 1:
-            zone.next_at = now + int(home.typical() / zone.window)
         home.flight += 1
         self.out[len(self.tries)] = up.flight + up.others
         self.tries.append(up)
@@ -203,7 +225,8 @@
         home.flight -= 1
         if outcome == TIMED_OUT or (outcome == COMPLETED and took > LATE * self.method.soft):
             # A late end shrinks the window only where the upstream is no worse than the rest.
-            if home.ordinary(up, zone, now):
+            # Slow among sound ones is an upstream's own fault, not the crowd's.
+            if home.expected(up, now) <= 1.2 * zone.usual or not zone.usual:
                 zone.window = max(0.25, zone.window * SHRINK)
         elif outcome == COMPLETED and zone.flight + 1 >= zone.window:
             zone.window *= GROW
@@ -239,11 +262,15 @@
         self.asks, self.ask_every = settings["membership_mode"] == "on_request", int(rules["ask_every"] * 10)
         self.following, self.pending, self.ask_at, self.ask_wait = False, False, now, SECOND
         self.ups: list[Upstream] = []
+        self.ready = self.aside = 0             # upstreams ready, and of these set aside
+        self.sizes = 0.0                        # the sum of what the list says of their sizes
+        self.kinds: dict[int, list] = {}        # by kind of upstream: took, foreseen, since when
+        self.memory = MEMORY
         self.marks: dict[int, Upstream] = {}    # by what all sidecars call an upstream
         self.told: dict[int, tuple] = {}        # by sidecar: when it told, and its counts
         self.peer_price = settings["prices"].get("peer", 0.0) if limits["may_tell"] else None
         self.credit, self.cross_price = 0.0, settings["prices"].get("cross_zone", 0.0)
-        self.zones = [Zone(self.chance()) for _ in settings["zones"]]
+        self.zones = [Zone(self.chance(), place) for place in range(len(settings["zones"]))]
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
@@ -266,29 +293,49 @@
             named = {row[0] for row in rows}
             for up in self.ups:
                 if up.index not in named:
-                    up.state = REMOVED
-        for index, zone, state, started, cell, mark in rows:
+                    self.relist(up, up.zone, REMOVED)
+        for index, zone, state, started, cell, mark, size, kind in rows:
             while len(self.ups) <= index:
-                self.ups.append(Upstream(len(self.ups)))
+                self.ups.append(Upstream(len(self.ups), self.chance()))
             up = self.ups[index]
-            if up.zone is not None and up.zone != zone:
-                self.zones[up.zone].flight -= up.flight
-                self.zones[zone].flight += up.flight
-            elif up.zone is None:
-                self.zones[zone].flight += up.flight
-            fresh = started != up.started
-            if fresh:
+            if started != up.started:
+                self.relist(up, up.zone, REMOVED)
                 up.forget()
-            up.zone, up.cell, up.state, up.started, up.mark = zone, cell, state, started, mark
+                up.cold_turns = self.chance()
+            up.cell, up.started, up.mark, up.kind = cell, started, mark, kind
             self.marks[mark] = up
-            if fresh and self.is_cold(up, now):
-                # Not all sidecars at once: the first send comes at a random point of the first gap.
-                up.cold_next = now + int(self.chance() * self.cold_gap(now, up))
-        self.rebuild(now)
+            self.relist(up, zone, state, size)
         for zone in self.zones:
             if zone.window == inf and zone.ring:
                 zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
+    def relist(self, up: Upstream, zone: int | None, state: int, size: float | None = None) -> None:
+        """A change in the list costs what changed: rotations lose and gain just the upstreams it names."""
+        if up.listed:
+            self.ready -= 1
+            self.sizes -= up.size
+            if up.aside_until:
+                self.aside -= 1
+        if up.zone != zone:
+            self.rotation(up, False)
+            if up.zone is not None:
+                self.zones[up.zone].flight -= up.flight
+            self.zones[zone].flight += up.flight
+            up.zone = zone
+        up.size, up.state = size or up.size, state
+        up.listed = state == READY
+        if up.listed:
+            self.ready += 1
+            self.sizes += up.size
+            if up.aside_until:
+                self.aside += 1
+        self.rotation(up, up.listed and not up.aside_until)
+
+    def rotation(self, up: Upstream, wanted: bool) -> None:
+        zone = self.zones[up.zone] if up.zone is not None else None
+        if zone is not None and (up in zone.ring) != wanted:
+            (zone.join if wanted else zone.leave)(up)
+
     def list_failed(self, now: int) -> None:
         """The subscription broke or a call failed: ask again soon, then less often, within what is set."""
         self.pending = self.following = False
@@ -301,18 +348,6 @@
         self.pending = True
         return True
 
-    def rebuild(self, now: int) -> None:
-        """Rotations of the ready upstreams that are not set aside; the others wake us when they return."""
-        sizes = [len(zone.ring) for zone in self.zones]
-        for zone in self.zones:
-            zone.ring = []
-        for up in self.ups:
-            if up.state == READY and up.aside_until <= now:
-                self.zones[up.zone].ring.append(up)
-        for zone, size in zip(self.zones, sizes, strict=True):
-            if size and zone.ring:
-                zone.window *= len(zone.ring) / size
-
     # --- the mechanism
 
     def choose(self, now: int, rpc: Rpc, stay: bool) -> Upstream | None:
@@ -333,7 +368,7 @@
             up = self.rotate(own, now, rpc, left)
             if up is not None:
                 return up
-            if stay:
+            if stay and own.window >= 1:
                 return None
             open_zones.remove(own)
         # A zone without room is left out and the draw repeated.
@@ -345,7 +380,8 @@
             open_zones.remove(zone)
         if worst is not None and worst.ring:
             return self.rotate(worst, now, rpc, left)
-        return None if self.flight or rpc.out else self.last_resort(now, rpc)
+        held_back = any(zone.ring and zone.full(rpc) for zone in self.zones)
+        return None if self.flight or rpc.out or held_back else self.last_resort(now, rpc)
 
     def draw(self, zones: list) -> Zone:
         at = self.chance() * sum(len(zone.ring) for zone in zones)
@@ -357,18 +393,27 @@
 
     def rotate(self, zone: Zone, now: int, rpc: Rpc, left: int) -> Upstream | None:
         """The next in rotation that is not well above the mean, then any that has room."""
-        if zone.flight >= zone.window and (zone.flight or now < zone.next_at):
+        if zone.full(rpc):
             return None
         ring = zone.ring
         size = len(ring)
         start = int(zone.turn * size) if isinstance(zone.turn, float) else zone.turn % size
         bar = zone.flight / size + MARGIN
         over = None
-        for step in range(size):
+        for step in range(min(size, VISITS)):
             up = ring[(start + step) % size]
-            if up in rpc.tries or not rpc.allowed(up, now) or not self.room(up, now, left):
+            if up in rpc.tries or not rpc.allowed(up, now):
+                continue
+            expected = self.expected(up, now)
+            zone.usual += (expected - zone.usual) / size if zone.usual else expected
+            if not self.room(up, now, left, expected):
                 continue
-            if up.flight <= bar:
+            # Guards against mixed speeds: over time, too, an upstream well above the mean is passed over, so
+            # that a slow one gets the fewer turns the longer it takes. What is quick enough takes every turn.
+            swift = max(EASY * self.shortest, SWIFT * zone.usual)
+            up.turns += 1.0 if expected <= swift else (swift / expected) ** 2
+            if up.flight <= bar and up.turns >= 1:
+                up.turns -= 1
                 zone.turn = (start + step + 1) % size
                 return self.chosen(up, now)
             over = over or up
@@ -376,28 +421,31 @@
 
     def chosen(self, up: Upstream, now: int) -> Upstream:
         if self.is_cold(up, now):
-            up.cold_next = now + self.cold_gap(now, up)
+            up.cold_turns -= 1
         return up
 
-    def cold_gap(self, now: int, up: Upstream) -> int:
-        """Rule 4: the time between sends that keeps to our part of what a cold upstream can take."""
-        share = self.cold_from + (1 - self.cold_from) * max(0, now - up.started) / self.cold
-        # Half of the budget is shared out evenly, half by what each balancer sees end at a warm upstream.
-        even = self.sidecars * self.sums[2] / self.sums[1]
-        warm = sum(1 for other in self.ups if other.state == READY and not self.is_cold(other, now))
-        own = MEMORY * warm / (self.sums[0] * exp((self.stamp - now) / MEMORY)) if warm else inf
-        return int(min(even, own) / (self.fall_multiple / 2 * share))
+    def cold_room(self, up: Upstream, now: int) -> bool:
+        """Rule 4: a cold upstream gets its part of what this balancer sends, so that all keep to theirs."""
+        # Half of the multiple, for chance. By own traffic: hundreds of even parts would mostly lie unused.
+        rate = self.sums[0] * exp((self.stamp - now) / self.memory) / self.memory / max(1, self.ready)
+        since = now - max(up.cold_stamp, up.started)
+        up.cold_turns = min(1.0, up.cold_turns + since * rate * self.fall_multiple / 2 * self.warmth(up, now))
+        up.cold_stamp = now
+        return up.cold_turns >= 1
+
+    def warmth(self, up: Upstream, now: int) -> float:
+        """The least part of its capacity that an upstream has, as stated."""
+        if not self.is_cold(up, now):
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * max(0, now - up.started) / self.cold
 
     def is_cold(self, up: Upstream, now: int) -> bool:
         return up.started > 0 and now - up.started < self.cold
 
-    def room(self, up: Upstream, now: int, left: int) -> bool:
+    def room(self, up: Upstream, now: int, left: int, expected: float) -> bool:
         """Guards against crowding: one more only if it is expected back well within the time left."""
-        if up.trial and up.flight:
-            return False
-        if now < up.cold_next:
+        if (up.trial and up.flight) or (self.is_cold(up, now) and not self.cold_room(up, now)):
             return False
-        expected = self.expected(up, now)
         return expected <= (min(left, self.shortest) * ROOM if up.flight else left)
 
     def fit(self) -> None:
@@ -409,30 +457,35 @@
         self.slope = min(max(slope, QUEUED * took / crowd), took / crowd)
         self.base = (took - self.slope * crowd) / ends
 
-    def slowness(self, up: Upstream, now: int) -> float:
-        """What this upstream took over what was foreseen, with one usual RPC added for lack of evidence."""
-        up.fade(now)
-        usual = self.base + self.slope
-        return (up.took + usual) / (up.foreseen + usual)
+    def usual(self, up: Upstream, now: int, crowd: int) -> float:
+        """The time foreseen for an upstream of its size, kind and age, whatever itself has shown."""
+        return (self.base + self.slope * crowd) * self.kind_factor(up) * self.sizes / (
+            max(1, self.ready) * up.size * self.warmth(up, now))
 
-    def expected(self, up: Upstream, now: int) -> float:
-        """How long one more transmission would take there."""
-        return self.slowness(up, now) * (self.base + self.slope * (up.flight + up.others + 1))
+    def kind_factor(self, up: Upstream) -> float:
+        """Guards against too little evidence: what one upstream shows is held true of all of its kind."""
+        kind = self.kinds.get(up.kind)
+        alike = self.base + self.slope
+        return (kind[0] + alike) / (kind[1] + alike) if kind else 1.0
 
-    def ordinary(self, up: Upstream, zone: Zone, now: int) -> bool:
-        """No worse than others: a slow server among sound ones is its own fault, not the crowd's."""
-        slow = self.slowness(up, now)
-        return slow <= 1.2 or slow * len(zone.ring) <= 1.2 * sum(self.slowness(u, now) for u in zone.ring)
+    def expected(self, up: Upstream, now: int) -> float:
+        """How long one more transmission would take there; with one usual RPC added for lack of evidence."""
+        up.fade(now, self.memory)
+        alike = self.base + self.slope
+        slowness = (up.took + alike) / (up.foreseen + alike)
+        return slowness * self.usual(up, now, up.flight + up.others + 1)
 
     def typical(self) -> float:
         return self.sums[2] / self.sums[0]
 
     def last_resort(self, now: int, rpc: Rpc) -> Upstream | None:
         """Nothing eligible, nothing out to wait for: the ready upstream that returns first, one at a time."""
-        best = None
-        for up in self.ups:
-            if up.state == READY and not up.flight and now >= up.cold_next and up not in rpc.tries \
-                    and rpc.allowed(up, now) and (best is None or up.aside_until < best.aside_until):
+        best, start = None, int(self.chance() * len(self.ups))
+        # From a random place, or all balancers would fall on the same one.
+        for up in self.ups[start:] + self.ups[:start]:
+            if up.listed and not up.flight and up not in rpc.tries and rpc.allowed(up, now) and (
+                    best is None or up.aside_until < best.aside_until) and (
+                    not self.is_cold(up, now) or self.cold_room(up, now)):
                 best = up
         return best and self.chosen(best, now)
 
@@ -466,13 +519,23 @@
     # --- is an upstream well
 
     def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int) -> None:
-        up.fade(now)
+        up.fade(now, self.memory)
         if outcome in (COMPLETED, TIMED_OUT):
             up.took += took
-            up.foreseen += self.base + self.slope * crowd
-            keep = exp((self.stamp - now) / MEMORY)
-            seen = (1, crowd, took, crowd * crowd, crowd * took)
+            usual = self.usual(up, now, crowd)
+            up.foreseen += usual
+            alike = usual / self.kind_factor(up)
+            kind = self.kinds.setdefault(up.kind, [0.0, 0.0, now])
+            keep = exp((kind[2] - now) / LONGEST)
+            self.kinds[up.kind] = [kind[0] * keep + took, kind[1] * keep + alike, now]
+            # The line is that of an upstream of the mean size, warm.
+            level = took * (self.base + self.slope * crowd) / alike
+            keep = exp((self.stamp - now) / self.memory)
+            seen = (1, crowd, level, crowd * crowd, crowd * level)
             self.sums, self.stamp = [old * keep + new for old, new in zip(self.sums, seen, strict=True)], now
+            # A light balancer remembers longer, until it has seen enough.
+            few = self.sums[0] < ENOUGH
+            self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
             self.fit()
         if outcome == COMPLETED:
             up.good += 1
@@ -485,17 +548,17 @@
             self.set_aside(now, up, outcome == UNCONNECTED)
 
     def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
-        if up.state != READY or up.aside_until > now:
+        if not up.listed or up.aside_until:
             return
         # Guards against a fault of our own side, or of all at once: at most half is set aside on suspicion.
-        ready = sum(1 for u in self.ups if u.state == READY)
-        aside = sum(1 for u in self.ups if u.state == READY and u.aside_until > now)
-        if not certain and 2 * (aside + 1) > ready:
+        if not certain and 2 * (self.aside + 1) > self.ready:
             return
         up.aside_until = now + int(self.span(2, 3) * SECOND)
         up.trial, up.good, up.bad = True, 0.0, 0.0
-        self.rebuild(now)
-        heappush(self.alarms, (up.aside_until, self.count(), None))
+        self.aside += 1
+        self.rotation(up, False)
+        heappush(self.alarms, (up.aside_until, self.count(), up))
+
 
     # --- holding, and when to answer exhausted
 
@@ -506,7 +569,7 @@
         typical = self.typical()
         last = int(rpc.soft_end - typical / 2)
         place = (-rpc.method.payoff, self.count(), last, rpc)
-        ahead = sum(1 for other in self.held if other[0] <= place[0]) + 1
+        ahead = bisect_left(self.held, place) + 1
         # What is overtaken is told at once rather than left to sit until its time is up.
         pace = WAIT * self.flight / typical
         if not self.flight or now + ahead / pace > last:
@@ -525,7 +588,7 @@
 
     def unhold(self, rpc: Rpc) -> None:
         if rpc.held is not None:
-            self.held.remove(rpc.held)
+            del self.held[bisect_left(self.held, rpc.held)]
             rpc.held = None
 
     def retry_after(self, now: int, rpc: Rpc) -> int:
@@ -547,8 +610,11 @@
             self.forget_told(now)
         while self.alarms and self.alarms[0][0] <= now:
             rpc = heappop(self.alarms)[2]
-            if rpc is None:
-                self.rebuild(now)
+            if isinstance(rpc, Upstream):
+                if 0 < rpc.aside_until <= now:
+                    rpc.aside_until = 0
+                    self.aside -= rpc.listed
+                    self.rotation(rpc, rpc.listed)
             elif not rpc.done:
                 yield rpc
         while self.held:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,10 +17,14 @@
                       "overload_for": 2000.0, "stop_sending_within": 300.0}, **more}
 
 
+def row(up, zone=0, state=decide.READY, started=0, cell=0, size=1.0, kind=0):
+    return up, zone, state, started, cell, up, size, kind
+
+
 def balancer(conf, upstreams, seed=1):
     """`upstreams`: pairs of index and zone, all ready and warm."""
     b = decide.Balancer(conf, seed, 0)
-    b.list_changed(0, [(up, zone, decide.READY, 0, 0, up) for up, zone in upstreams], True, True)
+    b.list_changed(0, [row(up, zone) for up, zone in upstreams], True, True)
     b.sums = [100.0, 150.0, 1000.0, 250.0, 1500.0]  # 1 ms whatever is in flight
     b.fit()
     return b
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,5 +1,5 @@
 """One short test for each failure found: what is guarded against, on the module alone."""
-from helpers import balancer, method, settings
+from helpers import balancer, method, row, settings
 
 from shedgrade import decide
 
@@ -74,7 +74,7 @@
 def test_a_cold_upstream_gets_no_more_than_this_balancers_part_of_its_budget():
     conf = settings(balancers=4)
     b = balancer(conf, [])
-    b.list_changed(50000, [(0, 0, decide.READY, 50000, 0, 0)], True, True)
+    b.list_changed(50000, [row(0, started=50000)], True, True)
     b.zones[0].window, sends = 99.0, []
     for now in range(50000, 150000, 20):
         rpc, answer = send(b, now)
@@ -120,7 +120,7 @@
     b = balancer(settings(), ONE)
     rpc, _ = send(b)
     rpc.ended(5, 0, decide.UNCONNECTED, 5, False)
-    b.list_changed(9, [(0, 0, decide.READY, 8, 0, 0)], False, True)
+    b.list_changed(9, [row(0, started=8)], False, True)
     assert b.zones[0].ring == [b.ups[0]] and not b.ups[0].trial
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,7 +1,7 @@
 """The design's mechanism, on the module alone."""
 from collections import Counter
 
-from helpers import balancer, method, settings
+from helpers import balancer, method, row, settings
 
 from shedgrade import decide
 
@@ -38,7 +38,7 @@
 def test_list_changes_keep_counts_and_drains_leave_at_once():
     b = balancer(settings(), [(0, 0), (1, 0)])
     picks = [b.take(0, 0, 9000).decide(0)[0] for _ in range(2)]
-    b.list_changed(1, [(0, 0, decide.DRAINING, 0, 0, 0), (2, 0, decide.READY, 0, 0, 2)], False, True)
+    b.list_changed(1, [row(0, 0, decide.DRAINING), row(2)], False, True)
     assert sorted(picks) == [0, 1] and b.ups[1].flight == 1 and b.zones[0].flight == 2
     assert {b.take(1, 0, 9000).decide(1)[0] for _ in range(2)} == {1, 2}
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,5 @@
 """A plain model of the rules beside the module, on generated days: both must agree on what is allowed."""
-from helpers import balancer, method, settings
+from helpers import balancer, method, row, settings
 from hypothesis import HealthCheck, given, seed
 from hypothesis import settings as run
 from hypothesis import strategies as st
@@ -114,7 +114,7 @@
 
     def relist(self, up, state):
         self.state[up] = state
-        self.b.list_changed(self.now, [(up, up % 3, state, 0, up % 2, up)], False, True)
+        self.b.list_changed(self.now, [row(up, up % 3, state, cell=up % 2)], False, True)
 
 
 STEP = st.one_of(
