--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -27,7 +27,7 @@
 
 SECOND = 10_000
 MEMORY = 5 * SECOND     # measures fade over 5 s: hundreds of RPCs of a busy balancer
-LONGEST = 30 * SECOND   # or, for a light one, over what brings ENOUGH ends, up to this: few troubles last longer
+LONGEST = 30 * SECOND   # or, for a light one, over what brings ENOUGH ends, up to the length of a trouble
 ENOUGH = 30             # ends: a mean of so many is within a fifth
 THRESHOLD = 3.0         # in flight per ready upstream at which a zone may be dropped: 2 to 4 make little odds
 MARGIN = 0.5            # passed over if this far above the zone's mean in flight: half an RPC is not chance
@@ -71,14 +71,14 @@
 
 class Zone:
     """The rotation of one zone."""
-    __slots__ = ("ring", "turn", "flight", "window", "usual", "place")
+    __slots__ = ("ring", "turn", "flight", "window", "usual", "last_end")
 
-    def __init__(self, turn: float, place: int) -> None:
-        self.ring, self.turn, self.flight, self.window, self.usual, self.place = [], turn, 0, inf, 0.0, place
+    def __init__(self, turn: float) -> None:
+        self.ring, self.turn, self.flight, self.window, self.usual, self.last_end = [], turn, 0, inf, 0.0, 0
 
     def full(self, rpc: "Rpc") -> bool:
         """A window between two counts admits that part of the RPCs, each by its own luck."""
-        return self.flight + (rpc.luck + 0.618 * self.place) % 1 >= self.window
+        return self.flight + rpc.luck >= self.window
 
     def leave(self, up: Upstream) -> None:
         size = len(self.ring)
@@ -223,13 +223,16 @@
         up.flight -= 1
         zone.flight -= 1
         home.flight -= 1
+        # Guards against windows that lag: where ends are rare, each counts for more, as if all came in step.
+        gain = min(5.0, 1 + 3 * (now - zone.last_end) / SECOND)
+        zone.last_end = now
         if outcome == TIMED_OUT or (outcome == COMPLETED and took > LATE * self.method.soft):
             # A late end shrinks the window only where the upstream is no worse than the rest.
             # Slow among sound ones is an upstream's own fault, not the crowd's.
             if home.expected(up, now) <= 1.2 * zone.usual or not zone.usual:
-                zone.window = max(0.25, zone.window * SHRINK)
+                zone.window = max(0.1, zone.window * SHRINK ** gain)
         elif outcome == COMPLETED and zone.flight + 1 >= zone.window:
-            zone.window *= GROW
+            zone.window *= GROW ** gain
         home.learn(now, up, outcome, took, crowd)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
@@ -270,7 +273,7 @@
         self.told: dict[int, tuple] = {}        # by sidecar: when it told, and its counts
         self.peer_price = settings["prices"].get("peer", 0.0) if limits["may_tell"] else None
         self.credit, self.cross_price = 0.0, settings["prices"].get("cross_zone", 0.0)
-        self.zones = [Zone(self.chance(), place) for place in range(len(settings["zones"]))]
+        self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
@@ -459,8 +462,9 @@
 
     def usual(self, up: Upstream, now: int, crowd: int) -> float:
         """The time foreseen for an upstream of its size, kind and age, whatever itself has shown."""
+        # A cold one is believed to be midway, in proportion, between what is stated at least and warm.
         return (self.base + self.slope * crowd) * self.kind_factor(up) * self.sizes / (
-            max(1, self.ready) * up.size * self.warmth(up, now))
+            max(1, self.ready) * up.size * self.warmth(up, now) ** 0.5)
 
     def kind_factor(self, up: Upstream) -> float:
         """Guards against too little evidence: what one upstream shows is held true of all of its kind."""
