Ask the next two upstreams in rotation where late ends cost more than asking

Cause: a light sidecar meets each upstream too rarely to know which is slow; time-outs fall on those by chance. A first try left RPCs without an answer where asking went past their end: capped.

--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -160,10 +160,15 @@
     def alarm(self, event: dict, now: int, lists: dict, out: list) -> None:
         self.armed = inf
 
-    def ignore(self, event: dict, now: int, lists: dict, out: list) -> None:
-        pass
-
-    echo = ignore
+    def echo(self, event: dict, now: int, lists: dict, out: list) -> None:
+        index, outcome = self.indices.get(event["upstream"]), OUTCOMES.get(event["how"])
+        if index is None or not self.balancer.waiting.get(index):
+            raise BadInputError("upstream", f"{event['upstream']!r} was not polled")
+        if outcome is None:
+            raise BadInputError("how", f"{event['how']!r} is unknown")
+        rpc = self.balancer.probed(now, index, outcome)
+        if rpc is not None:
+            self.answer_for(rpc, now, out)
 
     def accepted(self, event: dict, now: int, lists: dict, out: list) -> None:
         self.rpc(event).started()
@@ -201,6 +206,8 @@
         balancer = self.balancer
         for rpc in balancer.due(now):
             self.answer_for(rpc, now, out)
+        for upstream in balancer.probes():
+            self.say(out, "poll", upstream=self.addresses[upstream])
         if balancer.wants_list(now):
             self.say(out, "follow", active=True)
         told = balancer.tells(now)
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -39,8 +39,10 @@
 WAIT = 0.5              # of the pace at which transmissions end is counted on: most waits end well
 TELLING = 0.002         # of an RPC's payoff may go into telling the other sidecars: a fifth of a point in 100
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
-LATE = 0.7              # of the soft deadline: slower ends count as late
-GROW, SHRINK = 1.05, 0.85  # the window holds where one end in four or five is late, whatever its size
+HALF = 0.5              # of the soft deadline: windows hold the mean time there, with one end in seven late
+ASKING = 0.25           # of the soft deadline: so long an upstream that is asked may take to answer
+ROUNDS = 2              # of asking before an RPC is exhausted: four upstreams that do not answer tell enough
+STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 
 
 class Upstream:
@@ -71,10 +73,11 @@
 
 class Zone:
     """The rotation of one zone."""
-    __slots__ = ("ring", "turn", "flight", "window", "usual", "last_end")
+    __slots__ = ("ring", "turn", "flight", "window", "usual", "last_end", "read")
 
     def __init__(self, turn: float) -> None:
-        self.ring, self.turn, self.flight, self.window, self.usual, self.last_end = [], turn, 0, inf, 0.0, 0
+        self.ring, self.turn, self.flight, self.window, self.usual = [], turn, 0, inf, 0.0
+        self.last_end = self.read = 0
 
     def full(self, rpc: "Rpc") -> bool:
         """A window between two counts admits that part of the RPCs, each by its own luck."""
@@ -113,7 +116,7 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned", "luck")
+                 "again_at", "held", "done", "turned", "luck", "asked", "answered", "ask_until", "rounds")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object) -> None:
@@ -131,6 +134,8 @@
         self.repeats, self.again_at, self.held, self.done = 0, None, None, False
         self.turned = False     # overtaken while held, to be answered at once
         self.luck = home.chance()
+        # Upstreams asked on its behalf, the one that answered first, how long that is waited for.
+        self.asked, self.answered, self.ask_until, self.rounds = [], None, None, 0
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
@@ -163,12 +168,29 @@
         """No more answers; returns the transmissions still out, which nobody waits for any longer."""
         self.done = True
         self.home.unhold(self)
+        self.stop_asking()
         return list(self.out) if self.home.cancelling else []
 
+    def stop_asking(self) -> None:
+        if self.ask_until is not None:
+            self.ask_until = None
+            self.home.zones[self.asked[0].zone].flight -= 1
+            self.home.flight -= 1
+
     def decide(self, now: int) -> tuple[int, int] | None:
         home, method = self.home, self.method
         if self.done or (self.out and not (self.again_at is not None and now >= self.again_at)):
             return None
+        up, self.answered = self.answered, None
+        if up is not None and up.listed and not up.aside_until and self.allowed(up, now) and now < self.end:
+            self.stop_asking()
+            return self.transmit(now, up, self.first_run() is not None)
+        if self.ask_until is not None:
+            if now < self.ask_until:
+                return None
+            self.stop_asking()
+            if self.rounds >= ROUNDS:
+                return self.final(now)
         self.again_at = None
         repeat = self.first_run() is not None
         if now >= self.end or len(self.tries) >= home.most or (
@@ -185,6 +207,8 @@
                 return None
             up = home.choose(now, self, False)
         if up is not None:
+            if home.ask(now, self, up):
+                return None
             return self.transmit(now, up, repeat)
         if self.out or home.hold(now, self, now):
             return None
@@ -226,13 +250,15 @@
         # Guards against windows that lag: where ends are rare, each counts for more, as if all came in step.
         gain = min(5.0, 1 + 3 * (now - zone.last_end) / SECOND)
         zone.last_end = now
-        if outcome == TIMED_OUT or (outcome == COMPLETED and took > LATE * self.method.soft):
-            # A late end shrinks the window only where the upstream is no worse than the rest.
+        if outcome in (TIMED_OUT, COMPLETED):
+            over = min(2.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
             # Slow among sound ones is an upstream's own fault, not the crowd's.
-            if home.expected(up, now) <= 1.2 * zone.usual or not zone.usual:
-                zone.window = max(0.1, zone.window * SHRINK ** gain)
-        elif outcome == COMPLETED and zone.flight + 1 >= zone.window:
-            zone.window *= GROW ** gain
+            if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
+                zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
+            elif over < 0 and zone.flight + 1 >= zone.window:
+                zone.window *= exp(-STEP * over * gain)
+            late = outcome == TIMED_OUT or took > self.method.soft
+            home.late += (late - home.late) / max(10.0, min(ENOUGH, home.sums[0]))
         home.learn(now, up, outcome, took, crowd)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
@@ -276,6 +302,9 @@
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
+        self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] else None
+        self.late, self.questions = 0.05, []    # the fading share of late ends, at first believed; to be asked now
+        self.waiting: dict[int, list] = {}      # by upstream: the RPCs that wait for its answers, in order
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
         # Until something is seen, an upstream is believed to finish two at once in the room there is.
         soft = ROOM * (min(m.soft for m in self.methods) - self.slack)
@@ -359,6 +388,10 @@
         open_zones = []
         for zone in self.zones:
             if zone.ring:
+                if zone.window < 1:
+                    # What holds back some of all RPCs fades when nothing confirms it.
+                    zone.window **= exp((zone.read - now) / LONGEST)
+                zone.read = now
                 open_zones.append(zone)
                 load = zone.flight / len(zone.ring)
                 if load >= most and (worst is None or load > most):
@@ -405,7 +438,7 @@
         over = None
         for step in range(min(size, VISITS)):
             up = ring[(start + step) % size]
-            if up in rpc.tries or not rpc.allowed(up, now):
+            if up in rpc.tries or up in rpc.asked or not rpc.allowed(up, now):
                 continue
             expected = self.expected(up, now)
             zone.usual += (expected - zone.usual) / size if zone.usual else expected
@@ -493,6 +526,50 @@
                 best = up
         return best and self.chosen(best, now)
 
+    # --- asking upstreams, where they may be asked
+
+    def ask(self, now: int, rpc: Rpc, up: Upstream) -> bool:
+        """Guards against what a light sidecar cannot know: the next two in rotation are asked, the first to
+        answer is taken. Acts where late ends cost more than asking does, and for one that returns."""
+        if self.probe_price is None or rpc.out or not (up.trial or self.late > 2 * self.probe_price):
+            return False
+        if now + self.typical() / 2 > rpc.soft_end:
+            return False
+        zone = self.zones[up.zone]
+        rpc.asked.append(up)
+        asked = [up]
+        other = self.rotate(zone, now, rpc, rpc.soft_end - now)
+        if other is not None:
+            asked.append(other)
+            rpc.asked.append(other)
+        rpc.rounds += 1
+        rpc.ask_until = min(rpc.end, now + int(ASKING * rpc.method.soft))
+        self.unhold(rpc)
+        heappush(self.alarms, (rpc.ask_until, self.count(), rpc))
+        # It counts as in flight meanwhile, or a crowd would get in past the window.
+        self.zones[rpc.asked[0].zone].flight += 1
+        self.flight += 1
+        for one in asked:
+            self.waiting.setdefault(one.index, []).append(rpc)
+            self.questions.append(one.index)
+        return True
+
+    def probes(self) -> list[int]:
+        questions, self.questions = self.questions, []
+        return questions
+
+    def probed(self, now: int, upstream: int, outcome: int) -> Rpc | None:
+        """An upstream has answered or failed to; returns the handle to ask again, if any waits for it."""
+        up, rpc = self.ups[upstream], self.waiting[upstream].pop(0)
+        if outcome == UNCONNECTED:
+            self.set_aside(now, up, True)
+        elif outcome == COMPLETED:
+            up.trial = False
+            if not rpc.done and rpc.ask_until is not None:
+                rpc.answered = up
+                return rpc
+        return None
+
     # --- what the sidecars tell each other, where they may
 
     def tells(self, now: int) -> bytes | None:
