--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -166,7 +166,11 @@
             raise BadInputError("upstream", f"{event['upstream']!r} was not polled")
         if outcome is None:
             raise BadInputError("how", f"{event['how']!r} is unknown")
-        rpc = self.balancer.probed(now, index, outcome)
+        gauge = optional(event, "gauge", (dict,), {})
+        load = gauge.get("busy_reqs", gauge.get("pending"))
+        if load is not None:
+            load = (load + 1) * gauge.get("svc_ms", 1.0)
+        rpc = self.balancer.probed(now, index, outcome, load)
         if rpc is not None:
             self.answer_for(rpc, now, out)
 
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -38,9 +38,11 @@
 
 WAIT = 0.5              # of the pace at which transmissions end is counted on: most waits end well
 TELLING = 0.002         # of an RPC's payoff may go into telling the other sidecars: a fifth of a point in 100
+FRESH = 8               # RPCs between two messages at most: counts of one RPC in flight are stale by then
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.5              # of the soft deadline: windows hold the mean time there, with one end in seven late
-ASKING = 0.25           # of the soft deadline: so long an upstream that is asked may take to answer
+LATE = 0.7              # of the soft deadline: slower ends count as late
+ASKING = 0.08           # of the soft deadline: so long an upstream that is asked may take to answer
 ROUNDS = 2              # of asking before an RPC is exhausted: four upstreams that do not answer tell enough
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 
@@ -116,7 +118,8 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned", "luck", "asked", "answered", "ask_until", "rounds")
+                 "again_at", "held", "done", "turned", "luck", "asked", "answered", "ask_until", "rounds",
+                 "least")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object) -> None:
@@ -135,7 +138,7 @@
         self.turned = False     # overtaken while held, to be answered at once
         self.luck = home.chance()
         # Upstreams asked on its behalf, the one that answered first, how long that is waited for.
-        self.asked, self.answered, self.ask_until, self.rounds = [], None, None, 0
+        self.asked, self.answered, self.ask_until, self.rounds, self.least = [], None, None, 0, None
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
@@ -190,7 +193,10 @@
                 return None
             self.stop_asking()
             if self.rounds >= ROUNDS:
-                return self.final(now)
+                up = self.least[1] if self.least else None
+                if up is None or not up.listed or up.aside_until or not self.allowed(up, now):
+                    return self.final(now)
+                return self.transmit(now, up, self.first_run() is not None)
         self.again_at = None
         repeat = self.first_run() is not None
         if now >= self.end or len(self.tries) >= home.most or (
@@ -257,7 +263,7 @@
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
             elif over < 0 and zone.flight + 1 >= zone.window:
                 zone.window *= exp(-STEP * over * gain)
-            late = outcome == TIMED_OUT or took > self.method.soft
+            late = outcome == TIMED_OUT or took > LATE * self.method.soft
             home.late += (late - home.late) / max(10.0, min(ENOUGH, home.sums[0]))
         home.learn(now, up, outcome, took, crowd)
         if outcome in NEVER_RAN:
@@ -303,7 +309,8 @@
         self.alarms, self.held, self.counter = [], [], 0
         self.flight, self.spare = 0, 5.0
         self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] else None
-        self.late, self.questions = 0.05, []    # the fading share of late ends, at first believed; to be asked now
+        self.late, self.questions = 0.05, []    # the share of late ends, at first believed; whom to ask now
+        self.reports, self.load = settings["report"]["via"] != "off", 0.0     # and the mean load reported
         self.waiting: dict[int, list] = {}      # by upstream: the RPCs that wait for its answers, in order
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
         # Until something is seen, an upstream is believed to finish two at once in the room there is.
@@ -531,14 +538,17 @@
     def ask(self, now: int, rpc: Rpc, up: Upstream) -> bool:
         """Guards against what a light sidecar cannot know: the next two in rotation are asked, the first to
         answer is taken. Acts where late ends cost more than asking does, and for one that returns."""
-        if self.probe_price is None or rpc.out or not (up.trial or self.late > 2 * self.probe_price):
+        if self.probe_price is None or rpc.out:
+            return False
+        # Where an upstream tells its load, one at a time is enough.
+        if not up.trial and self.late <= self.probe_price * (1 if self.reports else 2):
             return False
         if now + self.typical() / 2 > rpc.soft_end:
             return False
         zone = self.zones[up.zone]
         rpc.asked.append(up)
         asked = [up]
-        other = self.rotate(zone, now, rpc, rpc.soft_end - now)
+        other = None if self.reports else self.rotate(zone, now, rpc, rpc.soft_end - now)
         if other is not None:
             asked.append(other)
             rpc.asked.append(other)
@@ -558,17 +568,26 @@
         questions, self.questions = self.questions, []
         return questions
 
-    def probed(self, now: int, upstream: int, outcome: int) -> Rpc | None:
+    def probed(self, now: int, upstream: int, outcome: int, load: float | None = None) -> Rpc | None:
         """An upstream has answered or failed to; returns the handle to ask again, if any waits for it."""
         up, rpc = self.ups[upstream], self.waiting[upstream].pop(0)
         if outcome == UNCONNECTED:
             self.set_aside(now, up, True)
-        elif outcome == COMPLETED:
-            up.trial = False
-            if not rpc.done and rpc.ask_until is not None:
-                rpc.answered = up
-                return rpc
-        return None
+        if outcome != COMPLETED:
+            return None
+        up.trial = False
+        if load is not None:
+            self.load += (load - self.load) / 16 if self.load else load
+        if rpc.done or rpc.ask_until is None:
+            return None
+        # What tells that it is above the mean is passed over, as by own counts.
+        if load is None or load <= self.load:
+            rpc.answered = up
+        else:
+            rpc.ask_until = now
+            if rpc.least is None or load < rpc.least[0]:
+                rpc.least = load, up
+        return rpc
 
     # --- what the sidecars tell each other, where they may
 
@@ -576,25 +595,28 @@
         """Own counts of what is in flight, as often as a small part of an RPC's payoff can buy."""
         if self.peer_price is None or self.sidecars < 2:
             return None
+        # Counts grow stale while the credit for them is saved: among many, telling fades out by itself.
+        each = (self.sidecars - 1) * self.peer_price / 256
+        if 6 * each > FRESH * TELLING or self.credit < 6 * each:
+            return None
         busy = [up for up in self.ups if up.flight and up.state != REMOVED][:50]
-        cost = (len(busy) * 5 + 1) * (self.sidecars - 1) * self.peer_price / 256
-        if self.credit < cost:
+        if self.credit < (len(busy) * 5 + 1) * each:
             return None
         self.credit = 0.0
         return b"".join(pack("<IB", up.mark, min(255, up.flight)) for up in busy) or b"\0"
 
     def heard(self, now: int, sidecar: int, contents: bytes) -> None:
         """Lost or late counts do little harm: they stand until the next message replaces them, or 2 s."""
-        self.forget_told(now, sidecar)
+        self.forget_told(sidecar)
         pairs = iter_unpack("<IB", contents[:len(contents) // 5 * 5])
         counts = [(self.marks[mark], flight) for mark, flight in pairs if mark in self.marks]
         for up, flight in counts:
             up.others += flight
         self.told[sidecar] = now, counts
 
-    def forget_told(self, now: int, sidecar: int | None = None) -> None:
-        for other in [o for o, (at, _) in self.told.items() if o == sidecar or at < now - 2 * SECOND]:
-            for up, flight in self.told.pop(other)[1]:
+    def forget_told(self, sidecar: int) -> None:
+        if sidecar in self.told:
+            for up, flight in self.told.pop(sidecar)[1]:
                 up.others -= flight
 
     # --- is an upstream well
@@ -687,8 +709,11 @@
 
     def due(self, now: int):
         """Yields the handles that should be asked again, each before the next is looked for."""
-        if self.told:
-            self.forget_told(now)
+        while self.told:
+            oldest = next(iter(self.told))      # in the order in which they told
+            if self.told[oldest][0] >= now - 2 * SECOND:
+                break
+            self.forget_told(oldest)
         while self.alarms and self.alarms[0][0] <= now:
             rpc = heappop(self.alarms)[2]
             if isinstance(rpc, Upstream):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,7 +9,8 @@
 
 def settings(methods=None, zones=1, az=0, limits=None, **more):
     return {"az": az, "balancers": 1, "membership_mode": "pushed", "tick": 1.0, "my_number": 0, "prices": {},
-            "customers": [], "methods": methods or [method()], "zones": [str(z) for z in range(zones)],
+            "customers": [], "report": {"fields": [], "via": "off"},
+            "methods": methods or [method()], "zones": [str(z) for z in range(zones)],
             "limits": {"most_transmissions": 4, "parallel_tries": False, "cancelling": True,
                        "retry_after": True, "max_retry_after": 1000.0, "probes": False, "may_tell": False,
                        **(limits or {})},
