--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -40,7 +40,7 @@
 TELLING = 0.002         # of an RPC's payoff may go into telling the other sidecars: a fifth of a point in 100
 FRESH = 8               # RPCs between two messages at most: counts of one RPC in flight are stale by then
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
-HALF = 0.5              # of the soft deadline: windows hold the mean time there, with one end in seven late
+HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 LATE = 0.7              # of the soft deadline: slower ends count as late
 ASKING = 0.08           # of the soft deadline: so long an upstream that is asked may take to answer
 KNOWN = 1 * SECOND      # an upstream of which an end was seen within it is not asked: queues last as long
@@ -256,10 +256,10 @@
         zone.flight -= 1
         home.flight -= 1
         # Guards against windows that lag: where ends are rare, each counts for more, as if all came in step.
-        gain = min(5.0, 1 + 3 * (now - zone.last_end) / SECOND)
+        gain = min(5.0, 0.3 + 3 * (now - zone.last_end) / SECOND)
         zone.last_end = now
         if outcome in (TIMED_OUT, COMPLETED):
-            over = min(2.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
+            over = min(1.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
             # Slow among sound ones is an upstream's own fault, not the crowd's.
             if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
