--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -42,9 +42,9 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 LATE = 0.7              # of the soft deadline: slower ends count as late
-ASKING = 0.08           # of the soft deadline: so long an upstream that is asked may take to answer
-KNOWN = 1 * SECOND      # an upstream of which an end was seen within it is not asked: queues last as long
-ROUNDS = 2              # of asking before an RPC is exhausted: four upstreams that do not answer tell enough
+ASKING = 0.05           # of the soft deadline: so long an upstream that is asked may take to answer
+KNOWN = 3.0             # times a usual end: an upstream of which one was seen within it need not be asked
+ASKED = 4               # upstreams asked before an RPC is exhausted: so many that do not answer tell enough
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 
 
@@ -65,7 +65,7 @@
         """Health of an earlier process says nothing of the next one."""
         self.took = self.foreseen = self.good = self.bad = 0.0
         self.stamp = self.aside_until = self.cold_stamp = 0
-        self.seen = -KNOWN
+        self.seen = -inf
         self.trial = False
 
     def fade(self, now: int, memory: float) -> None:
@@ -120,7 +120,7 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned", "luck", "asked", "answered", "ask_until", "rounds",
+                 "again_at", "held", "done", "turned", "luck", "asked", "answered", "ask_until",
                  "least")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
@@ -140,7 +140,7 @@
         self.turned = False     # overtaken while held, to be answered at once
         self.luck = home.chance()
         # Upstreams asked on its behalf, the one that answered first, how long that is waited for.
-        self.asked, self.answered, self.ask_until, self.rounds, self.least = [], None, None, 0, None
+        self.asked, self.answered, self.ask_until, self.least = [], None, None, None
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
@@ -194,7 +194,7 @@
             if now < self.ask_until:
                 return None
             self.stop_asking()
-            if self.rounds >= ROUNDS:
+            if len(self.asked) >= ASKED:
                 up = self.least[1] if self.least else None
                 if up is None or not up.listed or up.aside_until or not self.allowed(up, now):
                     return self.final(now)
@@ -543,7 +543,7 @@
         if self.probe_price is None or rpc.out:
             return False
         # Where an upstream tells its load, one at a time is enough.
-        known = now - up.seen < KNOWN or self.late <= self.probe_price * (1 if self.reports else 2)
+        known = now - up.seen < KNOWN * self.typical() or self.late <= self.probe_price * (1 if self.reports else 2)
         if known and not up.trial:
             return False
         if now + self.typical() / 2 > rpc.soft_end:
@@ -555,7 +555,6 @@
         if other is not None:
             asked.append(other)
             rpc.asked.append(other)
-        rpc.rounds += 1
         rpc.ask_until = min(rpc.end, now + int(ASKING * rpc.method.soft))
         self.unhold(rpc)
         heappush(self.alarms, (rpc.ask_until, self.count(), rpc))
