--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -43,7 +43,6 @@
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 LATE = 0.7              # of the soft deadline: slower ends count as late
 ASKING = 0.05           # of the soft deadline: so long an upstream that is asked may take to answer
-KNOWN = 3.0             # times a usual end: an upstream of which one was seen within it need not be asked
 ASKED = 4               # upstreams asked before an RPC is exhausted: so many that do not answer tell enough
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 
@@ -52,7 +51,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "others", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "seen")
+                 "cold_turns", "cold_stamp")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -65,7 +64,6 @@
         """Health of an earlier process says nothing of the next one."""
         self.took = self.foreseen = self.good = self.bad = 0.0
         self.stamp = self.aside_until = self.cold_stamp = 0
-        self.seen = -inf
         self.trial = False
 
     def fade(self, now: int, memory: float) -> None:
@@ -543,8 +541,9 @@
         if self.probe_price is None or rpc.out:
             return False
         # Where an upstream tells its load, one at a time is enough.
-        known = now - up.seen < KNOWN * self.typical() or self.late <= self.probe_price * (1 if self.reports else 2)
-        if known and not up.trial:
+        # A balancer that sees an end at each upstream within MEMORY knows enough of them.
+        known = self.sums[0] * MEMORY >= self.ready * self.memory
+        if not up.trial and (known or self.late <= self.probe_price * (1 if self.reports else 2)):
             return False
         if now + self.typical() / 2 > rpc.soft_end:
             return False
@@ -642,7 +641,6 @@
             few = self.sums[0] < ENOUGH
             self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
             self.fit()
-        up.seen = now
         if outcome == COMPLETED:
             up.good += 1
             up.trial = False
