--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -504,7 +504,7 @@
         """The time foreseen for an upstream of its size, kind and age, whatever itself has shown."""
         # A cold one is believed to be midway, in proportion, between what is stated at least and warm.
         return (self.base + self.slope * crowd) * self.kind_factor(up) * self.sizes / (
-            max(1, self.ready) * up.size * self.warmth(up, now) ** 0.5)
+            max(1, self.ready) * up.size)
 
     def kind_factor(self, up: Upstream) -> float:
         """Guards against too little evidence: what one upstream shows is held true of all of its kind."""
