--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -469,10 +469,11 @@
 
     def cold_room(self, up: Upstream, now: int) -> bool:
         """Rule 4: a cold upstream gets its part of what this balancer sends, so that all keep to theirs."""
-        # Half of the multiple, for chance. By own traffic: hundreds of even parts would mostly lie unused.
+        # By own traffic, as it ends at a warm upstream of like size and kind: hundreds of even parts would
+        # mostly lie unused. Three quarters of the multiple, for chance.
         rate = self.sums[0] * exp((self.stamp - now) / self.memory) / self.memory / max(1, self.ready)
-        since = now - max(up.cold_stamp, up.started)
-        up.cold_turns = min(1.0, up.cold_turns + since * rate * self.fall_multiple / 2 * self.warmth(up, now))
+        rate *= (self.base + self.slope) / self.usual(up, 1) * 0.75 * self.fall_multiple * self.warmth(up, now)
+        up.cold_turns = min(1.0, up.cold_turns + (now - max(up.cold_stamp, up.started)) * rate)
         up.cold_stamp = now
         return up.cold_turns >= 1
 
@@ -500,9 +501,8 @@
         self.slope = min(max(slope, QUEUED * took / crowd), took / crowd)
         self.base = (took - self.slope * crowd) / ends
 
-    def usual(self, up: Upstream, now: int, crowd: int) -> float:
-        """The time foreseen for an upstream of its size, kind and age, whatever itself has shown."""
-        # A cold one is believed to be midway, in proportion, between what is stated at least and warm.
+    def usual(self, up: Upstream, crowd: int) -> float:
+        """The time foreseen for a warm upstream of its size and kind, whatever itself has shown."""
         return (self.base + self.slope * crowd) * self.kind_factor(up) * self.sizes / (
             max(1, self.ready) * up.size)
 
@@ -517,7 +517,7 @@
         up.fade(now, self.memory)
         alike = self.base + self.slope
         slowness = (up.took + alike) / (up.foreseen + alike)
-        return slowness * self.usual(up, now, up.flight + up.others + 1)
+        return slowness * self.usual(up, up.flight + up.others + 1)
 
     def typical(self) -> float:
         return self.sums[2] / self.sums[0]
@@ -626,7 +626,7 @@
         up.fade(now, self.memory)
         if outcome in (COMPLETED, TIMED_OUT):
             up.took += took
-            usual = self.usual(up, now, crowd)
+            usual = self.usual(up, crowd)
             up.foreseen += usual
             alike = usual / self.kind_factor(up)
             kind = self.kinds.setdefault(up.kind, [0.0, 0.0, now])
