--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -73,6 +73,10 @@
             self.good, self.bad = self.good * keep, self.bad * keep
 
 
+def first_window(size: int, sidecars: int) -> float:
+    return max(1.0, THRESHOLD * size / sidecars)
+
+
 class Zone:
     """The rotation of one zone."""
     __slots__ = ("ring", "turn", "flight", "window", "usual", "last_end", "read")
@@ -92,10 +96,13 @@
             # Guards against a fleet that shrinks: a window that never held anything back need not begin to.
             self.window = max(min(1.0, self.window), self.window * (size - 1) / size)
 
-    def join(self, up: Upstream) -> None:
+    def join(self, up: Upstream, sidecars: int) -> None:
         self.ring.append(up)
-        if len(self.ring) > 1:
-            self.window *= len(self.ring) / (len(self.ring) - 1)
+        size = len(self.ring)
+        if size > 1:
+            # With more upstreams it opens as far as at a start: a zone that comes back cold is not met by a
+            # window many times its size.
+            self.window = max(self.window, min(self.window * size / (size - 1), first_window(size, sidecars)))
 
 
 class Method:
@@ -346,7 +353,7 @@
             self.relist(up, zone, state, size)
         for zone in self.zones:
             if zone.window == inf and zone.ring:
-                zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
+                zone.window = first_window(len(zone.ring), self.sidecars)
 
     def relist(self, up: Upstream, zone: int | None, state: int, size: float | None = None) -> None:
         """A change in the list costs what changed: rotations lose and gain just the upstreams it names."""
@@ -373,7 +380,7 @@
     def rotation(self, up: Upstream, wanted: bool) -> None:
         zone = self.zones[up.zone] if up.zone is not None else None
         if zone is not None and (up in zone.ring) != wanted:
-            (zone.join if wanted else zone.leave)(up)
+            zone.join(up, self.sidecars) if wanted else zone.leave(up)
 
     def list_failed(self, now: int) -> None:
         """The subscription broke or a call failed: ask again soon, then less often, within what is set."""
@@ -405,6 +412,9 @@
                     worst, most = zone, load
         if worst is not None and len(open_zones) > 1:
             open_zones.remove(worst)
+        if rpc.asked and len(open_zones) > 1 and self.zones[rpc.asked[-1].zone] in open_zones:
+            # Where none of those asked had an answer, the zone counts as full for this RPC.
+            open_zones.remove(self.zones[rpc.asked[-1].zone])
         own = self.zones[self.own]
         left = rpc.soft_end - now if not rpc.method.late else rpc.end - now
         if own in open_zones:
@@ -472,8 +482,9 @@
         # By own traffic, as it ends at a warm upstream of like size and kind: hundreds of even parts would
         # mostly lie unused. Three quarters of the multiple, for chance.
         rate = self.sums[0] * exp((self.stamp - now) / self.memory) / self.memory / max(1, self.ready)
-        rate *= (self.base + self.slope) / self.usual(up, 1) * 0.75 * self.fall_multiple * self.warmth(up, now)
-        up.cold_turns = min(1.0, up.cold_turns + (now - max(up.cold_stamp, up.started)) * rate)
+        rate *= (self.base + self.slope) / self.usual(up, 1) * self.warmth(up, now)
+        since = now - max(up.cold_stamp, up.started)
+        up.cold_turns = min(1.0, up.cold_turns + since * rate * 0.75 * self.fall_multiple)
         up.cold_stamp = now
         return up.cold_turns >= 1
 
