--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -681,6 +681,9 @@
         """No room anywhere: wait for an end, dearest first, while the wait should end in an answer."""
         if rpc.held is not None:
             return now < rpc.held[2]
+        # What its luck keeps out of every zone no wait lets in: it is told at once.
+        if not any(zone.ring and rpc.luck < zone.window for zone in self.zones):
+            return False
         typical = self.typical()
         last = int(rpc.soft_end - typical / 2)
         place = (-rpc.method.payoff, self.count(), last, rpc)
