--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -44,7 +44,6 @@
 LATE = 0.7              # of the soft deadline: slower ends count as late
 ASKING = 0.05           # of the soft deadline: so long an upstream that is asked may take to answer
 ASKED = 4               # upstreams asked before an RPC is exhausted: so many that do not answer tell enough
-OUTLIER = 2.5           # times the usual time of the zone: what took longer was its upstream's fault
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 
 
@@ -267,7 +266,7 @@
         if outcome in (TIMED_OUT, COMPLETED):
             over = min(1.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
             # Slow among sound ones is an upstream's own fault, not the crowd's.
-            if over > 0 and home.expected(up, now) <= 1.2 * zone.usual and took <= OUTLIER * zone.usual:
+            if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
             elif over < 0 and zone.flight + 1 >= zone.window:
                 zone.window *= exp(-STEP * over * gain)
