--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -143,7 +143,8 @@
         self.tries, self.sent, self.out = [], [], {}
         self.repeats, self.again_at, self.held, self.done = 0, None, None, False
         self.turned = False     # overtaken while held, to be answered at once
-        self.luck = home.chance()
+        # What a window holds back is rather the cheap.
+        self.luck = home.chance() ** (method.payoff / home.mean_payoff)
         # Upstreams asked on its behalf, the one that answered first, how long that is waited for.
         self.asked, self.answered, self.ask_until, self.least = [], None, None, None
 
@@ -300,6 +301,7 @@
         self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
         self.fall_multiple = rules["fall_multiple"]
         top = max((m["payoff"] for m in settings["methods"]), default=1)
+        self.mean_payoff = sum(m["payoff"] for m in settings["methods"]) / len(settings["methods"]) or 1.0
         self.methods = [Method(m, top, self.most) for m in settings["methods"]]
         self.asks, self.ask_every = settings["membership_mode"] == "on_request", int(rules["ask_every"] * 10)
         self.following, self.pending, self.ask_at, self.ask_wait = False, False, now, SECOND
