--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -51,7 +51,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "others", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp")
+                 "cold_turns", "cold_stamp", "load")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -126,7 +126,7 @@
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
                  "again_at", "held", "done", "turned", "luck", "asked", "answered", "ask_until",
-                 "least")
+                 "asking", "least")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object) -> None:
@@ -146,7 +146,7 @@
         # What a window holds back is rather the cheap.
         self.luck = home.chance() ** (method.payoff / home.mean_payoff)
         # Upstreams asked on its behalf, the one that answered first, how long that is waited for.
-        self.asked, self.answered, self.ask_until, self.least = [], None, None, None
+        self.asked, self.answered, self.asking, self.ask_until, self.least = [], None, None, 0, None
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
@@ -183,30 +183,28 @@
         return list(self.out) if self.home.cancelling else []
 
     def stop_asking(self) -> None:
-        if self.ask_until is not None:
-            self.ask_until = None
-            self.home.zones[self.asked[0].zone].flight -= 1
+        if self.asking is not None:
+            self.asking.flight -= 1
             self.home.flight -= 1
+            self.asking = None
 
     def decide(self, now: int) -> tuple[int, int] | None:
         home, method = self.home, self.method
         if self.done or (self.out and not (self.again_at is not None and now >= self.again_at)):
             return None
-        up, self.answered = self.answered, None
-        if up is not None and up.listed and not up.aside_until and self.allowed(up, now) and now < self.end:
-            self.stop_asking()
-            return self.transmit(now, up, self.first_run() is not None)
-        if self.ask_until is not None:
-            if now < self.ask_until:
+        repeat = self.first_run() is not None
+        if self.asking is not None:
+            up, self.answered = self.answered, None
+            if up is None and now < self.ask_until:
                 return None
             self.stop_asking()
+            if up is None and len(self.asked) >= ASKED:
+                up = self.least
+            if up and up.listed and not up.aside_until and self.allowed(up, now) and now < self.end:
+                return self.transmit(now, up, repeat)
             if len(self.asked) >= ASKED:
-                up = self.least[1] if self.least else None
-                if up is None or not up.listed or up.aside_until or not self.allowed(up, now):
-                    return self.final(now)
-                return self.transmit(now, up, self.first_run() is not None)
+                return self.final(now)
         self.again_at = None
-        repeat = self.first_run() is not None
         if now >= self.end or len(self.tries) >= home.most or (
                 repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
                                 and home.spare >= 1)):
@@ -414,9 +412,9 @@
                     worst, most = zone, load
         if worst is not None and len(open_zones) > 1:
             open_zones.remove(worst)
-        if rpc.asked and len(open_zones) > 1 and self.zones[rpc.asked[-1].zone] in open_zones:
+        if rpc.asked and len(open_zones) > 1:
             # Where none of those asked had an answer, the zone counts as full for this RPC.
-            open_zones.remove(self.zones[rpc.asked[-1].zone])
+            open_zones = [zone for zone in open_zones if zone is not self.zones[rpc.asked[-1].zone]]
         own = self.zones[self.own]
         left = rpc.soft_end - now if not rpc.method.late else rpc.end - now
         if own in open_zones:
@@ -551,31 +549,26 @@
     def ask(self, now: int, rpc: Rpc, up: Upstream) -> bool:
         """Guards against what a light sidecar cannot know: the next two in rotation are asked, the first to
         answer is taken. Acts where late ends cost more than asking does, and for one that returns."""
-        if self.probe_price is None or rpc.out:
+        if self.probe_price is None or rpc.out or now + self.typical() / 2 > rpc.soft_end:
             return False
-        # Where an upstream tells its load, one at a time is enough.
-        # A balancer that sees an end at each upstream within MEMORY knows enough of them.
+        # A balancer that sees an end at each upstream within MEMORY knows enough of them. Where they tell
+        # their load, one at a time is asked.
         known = self.sums[0] * MEMORY >= self.ready * self.memory
         if not up.trial and (known or self.late <= self.probe_price * (1 if self.reports else 2)):
             return False
-        if now + self.typical() / 2 > rpc.soft_end:
-            return False
-        zone = self.zones[up.zone]
-        rpc.asked.append(up)
-        asked = [up]
-        other = None if self.reports else self.rotate(zone, now, rpc, rpc.soft_end - now)
-        if other is not None:
-            asked.append(other)
-            rpc.asked.append(other)
-        rpc.ask_until = min(rpc.end, now + int(ASKING * rpc.method.soft))
-        self.unhold(rpc)
-        heappush(self.alarms, (rpc.ask_until, self.count(), rpc))
+        rpc.asking = zone = self.zones[up.zone]
+        while up is not None:
+            rpc.asked.append(up)
+            self.waiting.setdefault(up.index, []).append(rpc)
+            self.questions.append(up.index)
+            both = self.reports or len(rpc.asked) % 2 == 0
+            up = None if both else self.rotate(zone, now, rpc, rpc.soft_end - now)
         # It counts as in flight meanwhile, or a crowd would get in past the window.
-        self.zones[rpc.asked[0].zone].flight += 1
+        zone.flight += 1
         self.flight += 1
-        for one in asked:
-            self.waiting.setdefault(one.index, []).append(rpc)
-            self.questions.append(one.index)
+        self.unhold(rpc)
+        rpc.ask_until = min(rpc.end, now + int(ASKING * rpc.method.soft))
+        heappush(self.alarms, (rpc.ask_until, self.count(), rpc))
         return True
 
     def probes(self) -> list[int]:
@@ -592,15 +585,16 @@
         up.trial = False
         if load is not None:
             self.load += (load - self.load) / 16 if self.load else load
-        if rpc.done or rpc.ask_until is None:
+        if rpc.done or rpc.asking is None:
             return None
         # What tells that it is above the mean is passed over, as by own counts.
         if load is None or load <= self.load:
             rpc.answered = up
         else:
             rpc.ask_until = now
-            if rpc.least is None or load < rpc.least[0]:
-                rpc.least = load, up
+            up.load = load
+            if rpc.least is None or load < rpc.least.load:
+                rpc.least = up
         return rpc
 
     # --- what the sidecars tell each other, where they may
@@ -676,7 +670,6 @@
         self.rotation(up, False)
         heappush(self.alarms, (up.aside_until, self.count(), up))
 
-
     # --- holding, and when to answer exhausted
 
     def hold(self, now: int, rpc: Rpc, until: int) -> bool:
