--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -73,10 +73,6 @@
             self.good, self.bad = self.good * keep, self.bad * keep
 
 
-def first_window(size: int, sidecars: int) -> float:
-    return max(1.0, THRESHOLD * size / sidecars)
-
-
 class Zone:
     """The rotation of one zone."""
     __slots__ = ("ring", "turn", "flight", "window", "usual", "last_end", "read")
@@ -89,21 +85,6 @@
         """A window between two counts admits that part of the RPCs, each by its own luck."""
         return self.flight + rpc.luck >= self.window
 
-    def leave(self, up: Upstream) -> None:
-        size = len(self.ring)
-        self.ring.remove(up)
-        if size > 1:
-            # Guards against a fleet that shrinks: a window that never held anything back need not begin to.
-            self.window = max(min(1.0, self.window), self.window * (size - 1) / size)
-
-    def join(self, up: Upstream, sidecars: int) -> None:
-        self.ring.append(up)
-        size = len(self.ring)
-        if size > 1:
-            # With more upstreams it opens as far as at a start: a zone that comes back cold is not met by a
-            # window many times its size.
-            self.window = max(self.window, min(self.window * size / (size - 1), first_window(size, sidecars)))
-
 
 class Method:
     """What the settings say of one method, times in tenths of a millisecond."""
@@ -353,7 +334,7 @@
             self.relist(up, zone, state, size)
         for zone in self.zones:
             if zone.window == inf and zone.ring:
-                zone.window = first_window(len(zone.ring), self.sidecars)
+                zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
     def relist(self, up: Upstream, zone: int | None, state: int, size: float | None = None) -> None:
         """A change in the list costs what changed: rotations lose and gain just the upstreams it names."""
@@ -380,7 +361,7 @@
     def rotation(self, up: Upstream, wanted: bool) -> None:
         zone = self.zones[up.zone] if up.zone is not None else None
         if zone is not None and (up in zone.ring) != wanted:
-            zone.join(up, self.sidecars) if wanted else zone.leave(up)
+            (zone.ring.append if wanted else zone.ring.remove)(up)
 
     def list_failed(self, now: int) -> None:
         """The subscription broke or a call failed: ask again soon, then less often, within what is set."""
