--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -45,6 +45,7 @@
 ASKING = 0.05           # of the soft deadline: so long an upstream that is asked may take to answer
 ASKED = 4               # upstreams asked before an RPC is exhausted: so many that do not answer tell enough
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
+GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
 
 class Upstream:
@@ -249,7 +250,7 @@
             if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
             elif over < 0 and zone.flight + 1 >= zone.window:
-                zone.window *= exp(-STEP * over * gain)
+                zone.window *= max(GROW if zone.window > 1 else 1.0, exp(-STEP * over * gain))
             late = outcome == TIMED_OUT or took > LATE * self.method.soft
             home.late += (late - home.late) / max(10.0, min(ENOUGH, home.sums[0]))
         home.learn(now, up, outcome, took, crowd)
