--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -10,8 +10,8 @@
   rpc.started()                           a streamed answer has begun
   rpc.gone(now)                           the client has left
   b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
-  b.probes()                              upstreams to be asked now; b.probed(now, upstream, outcome, load) tells how
-                                          one ended and returns the handle to ask again, or None
+  b.probes()                              upstreams to be asked now; b.probed(now, upstream, outcome, load)
+                                          takes how one ended, returns the handle to ask again or None
   b.tells(now)                            bytes for all other sidecars, or None; b.heard(now, sidecar, bytes)
   b.wants_list(now)                       True: subscribe to the list of upstreams now
 """
