--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -195,8 +195,9 @@
             return None if self.out else self.final(now)
         if self.turned:
             return self.final(now)
-        # Crossing has a price: the own zone gets that share of the soft deadline to make room first.
-        stay = self.come + int(home.cross_price * method.soft)
+        # Crossing has a price, so the own zone gets that share of the soft deadline to make room first, or a
+        # quarter of what the soft deadline leaves beside the usual time.
+        stay = self.come + int(max(home.cross_price * method.soft, (method.soft - home.typical()) / 4))
         up = home.choose(now, self, now < stay)
         if up is None and now < stay and not self.out:
             if home.hold(now, self, stay):
