--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -86,7 +86,7 @@
 
     def full(self, rpc: "Rpc") -> bool:
         """A window between two counts admits that part of the RPCs, each by its own luck."""
-        return self.flight + rpc.luck / max(1.0, self.window) >= self.window
+        return self.flight + rpc.luck >= self.window
 
 
 class Method:
