Held RPCs are given up once a usual time no longer fits

Cause: at the head of those held, RPCs that nothing could answer in time any more blocked the rest for half a usual time. Loads told in a probe are checked at the door.

--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -167,9 +167,9 @@
         if outcome is None:
             raise BadInputError("how", f"{event['how']!r} is unknown")
         gauge = optional(event, "gauge", (dict,), {})
-        load = gauge.get("busy_reqs", gauge.get("pending"))
+        load = optional(gauge, "busy_reqs", NUMBER, optional(gauge, "pending", NUMBER, None))
         if load is not None:
-            load = (load + 1) * gauge.get("svc_ms", 1.0)
+            load = (load + 1) * optional(gauge, "svc_ms", NUMBER, 1.0)
         rpc = self.balancer.probed(now, index, outcome, load)
         if rpc is not None:
             self.answer_for(rpc, now, out)
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -665,7 +665,7 @@
         if not any(zone.ring and rpc.luck < zone.window for zone in self.zones):
             return False
         typical = self.typical()
-        last = int(rpc.soft_end - typical / 2)
+        last = int(rpc.soft_end - typical)
         place = (-rpc.method.payoff, self.count(), last, rpc)
         ahead = bisect_left(self.held, place) + 1
         # What is overtaken is told at once rather than left to sit until its time is up.
