--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -134,10 +134,7 @@
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
-        for tx, at in enumerate(self.sent):
-            if at is not None:
-                return tx
-        return None
+        return next((tx for tx, at in enumerate(self.sent) if at is not None), None)
 
     def allowed(self, up: Upstream, now: int) -> bool:
         """Rule 2, no effect twice: what may have run goes again only where its method permits."""
@@ -229,8 +226,7 @@
                     # Only where more has failed than completed lately: elsewhere the work cut off is lost.
                     limit = min(limit, patience)
         up.flight += 1
-        zone = home.zones[up.zone]
-        zone.flight += 1
+        home.zones[up.zone].flight += 1
         home.flight += 1
         self.out[len(self.tries)] = up.flight + up.others
         self.tries.append(up)
@@ -431,7 +427,7 @@
 
     def rotate(self, zone: Zone, now: int, rpc: Rpc, left: int) -> Upstream | None:
         """The next in rotation that is not well above the mean, then any that has room."""
-        if zone.full(rpc):
+        if not zone.ring or zone.full(rpc):
             return None
         ring = zone.ring
         size = len(ring)
@@ -568,6 +564,8 @@
         if outcome != COMPLETED:
             return None
         up.trial = False
+        if up.aside_until:
+            self.back(up)
         if load is not None:
             self.load += (load - self.load) / 16 if self.load else load
         if rpc.done or rpc.asking is None:
@@ -655,6 +653,11 @@
         self.rotation(up, False)
         heappush(self.alarms, (up.aside_until, self.count(), up))
 
+    def back(self, up: Upstream) -> None:
+        up.aside_until = 0
+        self.aside -= up.listed
+        self.rotation(up, up.listed)
+
     # --- holding, and when to answer exhausted
 
     def hold(self, now: int, rpc: Rpc, until: int) -> bool:
@@ -713,9 +716,7 @@
             rpc = heappop(self.alarms)[2]
             if isinstance(rpc, Upstream):
                 if 0 < rpc.aside_until <= now:
-                    rpc.aside_until = 0
-                    self.aside -= rpc.listed
-                    self.rotation(rpc, rpc.listed)
+                    self.back(rpc)
             elif not rpc.done:
                 yield rpc
         while self.held:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -257,3 +257,13 @@
     rpc.started()
     at = b.wake_at()
     assert [r.decide(at) for r in b.due(at)] == [None]
+
+
+def test_the_last_resort_is_asked_first_even_where_no_other_is_in_rotation():
+    conf = settings(limits={"probes": True}, prices={"probe": 0.01}, balancers=100)
+    b = balancer(conf, ONE)
+    b.set_aside(0, b.ups[0], True)
+    rpc, answer = send(b)
+    assert answer is None and b.probes() == [0]
+    assert b.probed(5, 0, decide.COMPLETED) is rpc and rpc.decide(5)[0] == 0
+    assert b.zones[0].ring == [b.ups[0]] and list(b.due(40000)) == [] and b.aside == 0
