--- a/shedgrade/__init__.py
+++ b/shedgrade/__init__.py
@@ -1,1 +1,2 @@
-"""A sidecar load balancer: zone-aware rotation with named guards. The decisions are in `decide`."""
+"""A client-side load balancer: the decisions, the sidecar on sockets, and the bench's adapter."""
+__version__ = "0.2.0"
--- /dev/null
+++ b/shedgrade/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""How the sidecar starts and stops: its configuration and its phases."""
--- /dev/null
+++ b/shedgrade/lifecycle/config.py
@@ -0,0 +1,51 @@
+"""The configuration: read once at the start, complete or not at all."""
+import os
+from dataclasses import dataclass
+
+import orjson
+
+
+class ConfigError(Exception):
+    """One line that says what is wrong."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    memory_mb: int
+    sockets: int
+    known: dict | None
+    settings: dict
+
+
+def address(text: object, what: str) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{what}: {text!r} is not host:port")
+    return host, int(port)
+
+
+def load(path: str | None = None) -> Config:
+    path = path or os.environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("no configuration: GW_CONFIG is not set and no file was named")
+    try:
+        with open(path, "rb") as file:
+            text = orjson.loads(file.read())
+    except OSError as failure:
+        raise ConfigError(f"{path}: {failure.strerror}") from failure
+    except orjson.JSONDecodeError as wrong:
+        raise ConfigError(f"{path}: not JSON ({wrong})") from wrong
+    try:
+        limits = text.get("limits", {})
+        return Config(str(text.get("name", "")), address(text["listen"], "listen"),
+                      address(text["discovery"], "discovery"), int(text.get("seed", "0"), 16),
+                      int(limits.get("memory_mb", 192)), int(limits.get("sockets", 1024)),
+                      text.get("known"), text["settings"])
+    except KeyError as missing:
+        raise ConfigError(f"{path}: {missing} is missing") from missing
+    except (AttributeError, TypeError, ValueError) as wrong:
+        raise ConfigError(f"{path}: a value has the wrong form ({wrong})") from wrong
--- /dev/null
+++ b/shedgrade/turn.py
@@ -0,0 +1,181 @@
+"""The turn: what is ready is gathered, handed to the decisions in one go, and what came back carried out.
+
+Nothing else calls the decisions. A turn starts with the loop's next pass after something was gathered, so all
+that one pass of the loop read is decided on together. One timer, at the earliest of what the decisions and
+the transmissions wait for, starts a turn when nothing else does.
+"""
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+
+from loguru import logger
+
+from shedgrade import decide
+from shedgrade.memory.in_hand import Answer, Carried, Transmission
+
+ALLOWANCE = 20      # tenths of a ms that an answer takes out of here at the least, on an idle loop
+MOST_ALLOWED = 100  # more than that and the sidecar is overrun: then no allowance helps
+
+
+class Turn:
+    """Owns the RPCs in hand and all calls on the decisions."""
+
+    def __init__(self, loop, clock, balancer: decide.Balancer, caller, names: list[str]) -> None:
+        self.loop, self.clock, self.balancer, self.caller, self.names = loop, clock, balancer, caller, names
+        self.events: list[tuple] = []
+        self.actions: list[tuple] = []
+        self.in_hand: set[Carried] = set()
+        self.limits: list[tuple] = []       # (when, order, transmission): when its time is up
+        self.order = count()
+        self.timer, self.timer_at, self.scheduled = None, None, False
+        self.lag = 0.0                      # how late turns have been lately, tenths of a millisecond
+
+    # --- gathering: called by connections, discovery and the timer
+
+    def gather(self, call: Callable, *args) -> None:
+        self.events.append((call, args))
+        if not self.scheduled:
+            self.scheduled = True
+            self.loop.call_soon(self.run)
+
+    def arrived(self, carried: Carried, method: int, wait: int, retry: bool) -> None:
+        self.in_hand.add(carried)
+        at = self.clock.now()
+        self.gather(self.take, carried, method, at + wait * 10, retry)
+
+    def ended(self, transmission: Transmission, outcome: int, answer: Answer | None) -> None:
+        self.gather(self.end, transmission, outcome, answer, self.clock.now())
+
+    def left(self, carried: Carried) -> None:
+        self.gather(self.gone, carried)
+
+    def listed(self, rows: list, whole: bool, asked: bool) -> None:
+        self.gather(self.list_changed, rows, whole, asked)
+
+    def list_failed(self) -> None:
+        self.gather(lambda now: self.balancer.list_failed(now))
+
+    # --- the turn
+
+    def run(self) -> None:
+        self.scheduled = False
+        now = self.clock.now()
+        self.expire(now)
+        while self.events:
+            events, self.events = self.events, []
+            for call, args in events:
+                call(now, *args)
+            for rpc in self.balancer.due(now):
+                self.decide(now, rpc.tag)
+            self.balancer.wants_list(now)   # the watch always follows on by itself
+            actions, self.actions = self.actions, []
+            for call, args in actions:
+                call(*args)
+        self.set_timer()
+
+    def set_timer(self) -> None:
+        at = self.balancer.wake_at()
+        while self.limits and not self.limits[0][2].still_out():
+            heappop(self.limits)
+        if self.limits:
+            at = min(at, self.limits[0][0])
+        if at == self.timer_at:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = self.timer_at = None
+        if at != decide.inf:
+            self.timer_at = at
+            self.timer = self.loop.call_at(self.clock.on_monotonic(at), self.alarm)
+
+    def alarm(self) -> None:
+        self.lag = max(self.lag * 0.99, min(MOST_ALLOWED, self.clock.now() - self.timer_at))
+        self.timer = self.timer_at = None
+        self.gather(lambda now: None)
+
+    # --- what is handed to the decisions
+
+    def take(self, now: int, carried: Carried, method: int, give_up_at: int, retry: bool) -> None:
+        if carried.done:
+            return
+        allowance = ALLOWANCE + int(self.lag)
+        carried.rpc = self.balancer.take(now, method, give_up_at - allowance, retry, carried)
+        self.decide(now, carried)
+
+    def end(self, now: int, transmission: Transmission, outcome: int, answer: Answer | None, at: int) -> None:
+        carried, tx = transmission.carried, transmission.tx
+        if not transmission.still_out():
+            return      # its end was told before: what comes late reaches nobody
+        del carried.out[tx]
+        served = outcome == decide.COMPLETED and not carried.done
+        if served:
+            self.finish(carried)
+            self.actions.append((carried.client.completed, (answer,)))
+        stops = carried.rpc.ended(now, tx, outcome, max(0, at - transmission.sent), carried.done)
+        self.stop(now, carried, stops)
+        self.decide(now, carried)
+
+    def gone(self, now: int, carried: Carried) -> None:
+        if carried.done:
+            return
+        self.finish(carried)
+        if carried.rpc is not None:
+            self.stop(now, carried, carried.rpc.gone(now))
+
+    def list_changed(self, now: int, rows: list, whole: bool, asked: bool) -> None:
+        self.balancer.list_changed(now, rows, whole, asked)
+
+    def decide(self, now: int, carried: Carried) -> None:
+        answer = carried.rpc.decide(now)
+        if answer is None:
+            return
+        what, value = answer
+        if what >= 0:
+            transmission = Transmission(carried, len(carried.rpc.tries) - 1, what, now, now + value)
+            carried.out[transmission.tx] = transmission
+            heappush(self.limits, (transmission.until, next(self.order), transmission))
+            self.actions.append((self.transmit, (transmission, now)))
+        elif not carried.done:
+            self.finish(carried)
+            client = carried.client
+            if what == decide.EXHAUSTED:
+                self.actions.append((client.exhausted, (value,)))
+            else:
+                self.actions.append((client.errored, ()))
+
+    def finish(self, carried: Carried) -> None:
+        carried.done = True
+        self.in_hand.discard(carried)
+
+    def stop(self, now: int, carried: Carried, numbers: list[int]) -> None:
+        for tx in numbers:
+            transmission = carried.out.get(tx)
+            if transmission is not None:
+                self.actions.append((self.caller.stop, (transmission,)))
+                self.events.append((self.end, (transmission, decide.STOPPED, None, now)))
+
+    # --- what is carried out
+
+    def transmit(self, transmission: Transmission, now: int) -> None:
+        if transmission.still_out():
+            self.caller.transmit(transmission, now)
+            if transmission.dial_until is not None and transmission.dial_until < transmission.until:
+                heappush(self.limits, (transmission.dial_until, next(self.order), transmission))
+
+    def expire(self, now: int) -> None:
+        """Transmissions whose time is up, or whose connection did not come up in time."""
+        while self.limits and self.limits[0][0] <= now:
+            transmission = heappop(self.limits)[2]
+            if not transmission.still_out():
+                continue
+            dialling = transmission.dial_until is not None
+            if now < transmission.until and not (dialling and now >= transmission.dial_until):
+                continue
+            upstream = self.names[transmission.upstream]
+            if self.caller.stop(transmission):
+                outcome = decide.TIMED_OUT
+                logger.debug("transmission to {} timed out", upstream)
+            else:
+                outcome = decide.UNCONNECTED if now >= (transmission.dial_until or now) else decide.UNSENT
+                logger.debug("no connection to {} in time", upstream)
+            self.events.append((self.end, (transmission, outcome, None, now)))
--- /dev/null
+++ b/shedgrade/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What the sidecar speaks: to the application, to upstreams, to discovery."""
--- /dev/null
+++ b/shedgrade/wire/connection.py
@@ -0,0 +1,82 @@
+"""What every connection has in common: a ring a direction, and the rules of their reuse."""
+import asyncio
+from collections.abc import Iterable
+
+from shedgrade.memory.ring import Ring
+
+LONGEST_BODY = LONGEST_HEAD = 64 * 1024
+# Headers that belong to one connection, or that each side writes anew.
+HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                 b"upgrade", b"content-length", b"expect"))
+
+
+class MessageError(Exception):
+    """A message that cannot be accepted; carries the HTTP status that says so."""
+
+
+def passed_on(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    return [(name, value) for name, value in headers if name.lower() not in HOP]
+
+
+class Connection(asyncio.BufferedProtocol):
+    """Reads into one ring and writes from another.
+
+    The transport may hold on to a written view, so bytes of the outgoing ring are reused only once all is
+    flushed. Its mark for 'too much' is set to 0: it then calls `pause_writing` from within a write that the
+    kernel did not take whole, and `resume_writing` once the kernel has all of it.
+    """
+
+    def __init__(self) -> None:
+        self.incoming, self.outgoing = Ring(), Ring()
+        self.transport: asyncio.Transport | None = None
+        self.flushing = self.reading_paused = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)
+
+    # --- reading
+
+    def get_buffer(self, hint: int) -> memoryview:
+        return self.incoming.space()
+
+    def buffer_updated(self, count: int) -> None:
+        self.incoming.filled(count)
+        self.read()
+        if self.incoming.full() and not self.reading_paused and not self.transport.is_closing():
+            self.transport.pause_reading()
+            self.reading_paused = True
+
+    def used(self, count: int) -> None:
+        self.incoming.consume(count)
+        if self.reading_paused and not self.transport.is_closing():
+            self.transport.resume_reading()
+            self.reading_paused = False
+
+    def read(self) -> None:
+        """Take what can be taken from the incoming ring."""
+        raise NotImplementedError
+
+    # --- writing
+
+    def write(self, *pieces: bytes) -> bool:
+        """Writes one message, the one before being flushed; True if all of it has left this process."""
+        for piece in pieces:
+            self.outgoing.put(piece)
+        for part in self.outgoing.parts():
+            self.transport.write(part)
+        if self.flushing or self.transport.is_closing():
+            return False
+        self.outgoing.consume(len(self.outgoing))
+        return True
+
+    def pause_writing(self) -> None:
+        self.flushing = True
+
+    def resume_writing(self) -> None:
+        self.flushing = False
+        self.outgoing.consume(len(self.outgoing))
+        self.flushed()
+
+    def flushed(self) -> None:
+        """What a write could not send at once has left this process too."""
--- /dev/null
+++ b/shedgrade/wire/upstream.py
@@ -0,0 +1,193 @@
+"""The upstreams' side: transmissions go out, each on a connection of its own while it lasts."""
+import asyncio
+import errno
+
+import httptools
+
+from shedgrade import decide
+from shedgrade.memory.idle import IdleConnections
+from shedgrade.memory.in_hand import Answer, Transmission
+from shedgrade.wire.connection import LONGEST_BODY, LONGEST_HEAD, Connection, MessageError, passed_on
+
+# Failures to connect that are this side's own: they prove as well that nothing ran, and blame no upstream.
+OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+
+
+class UpstreamConnection(Connection):
+    """One connection to an upstream; carries one transmission at a time."""
+
+    def __init__(self, caller: "Caller", upstream: int) -> None:
+        super().__init__()
+        self.caller, self.upstream = caller, upstream
+        self.parser = httptools.HttpResponseParser(self)
+        self.transmission: Transmission | None = None
+        self.whole = False      # the request's last byte has left this process
+        self.clear()
+
+    def clear(self) -> None:
+        self.headers, self.body, self.length, self.status, self.complete = [], [], 0, 0, False
+
+    def begin(self, transmission: Transmission, now: int) -> None:
+        self.transmission, transmission.link = transmission, self
+        self.clear()
+        request = transmission.carried.request
+        lines = [b"%s %s HTTP/1.1\r\n" % (request.verb, request.target)]
+        lines += [b"%s: %s\r\n" % pair for pair in request.headers]
+        lines.append(b"X-Timeout-Ms: %d\r\n" % max(1, (transmission.until - now) // 10))
+        if request.body or request.verb != b"GET":
+            lines.append(b"Content-Length: %d\r\n" % len(request.body))
+        self.whole = self.write(b"".join(lines), b"\r\n", request.body)
+
+    def flushed(self) -> None:
+        self.whole = True
+
+    def eof_received(self) -> None:
+        return None
+
+    def connection_lost(self, failure: Exception | None) -> None:
+        self.caller.closed(self)
+        # Only bytes that never left prove that it never ran; once the last may have left, a reset doesn't.
+        self.end(decide.DROPPED if self.whole else decide.UNCONNECTED)
+
+    def end(self, outcome: int, answer: Answer | None = None) -> None:
+        transmission, self.transmission = self.transmission, None
+        if transmission is not None:
+            self.caller.turn.ended(transmission, outcome, answer)
+
+    def abort(self) -> None:
+        """Closes at once; an outcome that is still to come reaches nobody."""
+        self.transmission = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    # --- reading
+
+    def read(self) -> None:
+        for part in self.incoming.parts():
+            try:
+                if self.transmission is None or self.complete:
+                    raise MessageError("bytes that nobody asked for")
+                self.parser.feed_data(part)
+            except (httptools.HttpParserError, MessageError):
+                # A broken answer is an error after which the RPC may have run.
+                if not self.complete:
+                    self.end(decide.FAILED)
+                self.transport.abort()
+                break
+        self.incoming.consume(len(self.incoming))
+        if self.complete:
+            self.finish()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name, value))
+        self.length += len(name) + len(value)
+        if self.length > LONGEST_HEAD:
+            raise MessageError("head too long")
+
+    def on_headers_complete(self) -> None:
+        self.length = 0
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        self.body.append(body)
+        self.length += len(body)
+        if self.length > LONGEST_BODY:
+            raise MessageError("body too long")
+
+    def on_message_complete(self) -> None:
+        if self.status < 200:
+            self.headers = []
+        elif self.complete:
+            raise MessageError("two answers")
+        else:
+            self.complete = True
+
+    def finish(self) -> None:
+        """A whole answer is here."""
+        keep = self.whole and self.parser.should_keep_alive() and not self.transport.is_closing()
+        if self.status == 200:
+            outcome, answer = decide.COMPLETED, Answer(passed_on(self.headers), b"".join(self.body))
+        else:
+            away = self.status in (503, 504) and any(
+                name.lower() == b"x-not-processed" and value == b"1" for name, value in self.headers)
+            outcome, answer = decide.TURNED_AWAY if away else decide.FAILED, None
+        if keep:
+            self.caller.keep(self)
+        else:
+            self.transport.close()
+        self.end(outcome, answer)
+
+
+class Caller:
+    """Carries out transmissions: finds or opens a connection, and stops what is no longer wanted."""
+
+    def __init__(self, loop, clock, addresses: dict[int, tuple[str, int]], dial_time: int, idle_limit: int,
+                 most: int) -> None:
+        self.loop, self.clock, self.addresses = loop, clock, addresses
+        self.dial_time, self.most = dial_time, most
+        self.idle = IdleConnections(idle_limit)
+        self.open: set[UpstreamConnection] = set()
+        self.dials: dict[Transmission, asyncio.Task] = {}
+        self.turn = None
+
+    def transmit(self, transmission: Transmission, now: int) -> None:
+        for stale in self.idle.stale(now):
+            stale.abort()
+        link = self.idle.take(transmission.upstream, now)
+        while link is not None and link.transport.is_closing():
+            link = self.idle.take(transmission.upstream, now)
+        if link is not None:
+            link.begin(transmission, now)
+            return
+        if len(self.open) + len(self.dials) >= self.most:
+            oldest = self.idle.oldest()
+            if oldest is None:
+                self.turn.ended(transmission, decide.UNSENT, None)
+                return
+            oldest.abort()
+        transmission.dial_until = now + self.dial_time
+        self.dials[transmission] = self.loop.create_task(self.dial(transmission))
+
+    async def dial(self, transmission: Transmission) -> None:
+        upstream = transmission.upstream
+        host, port = self.addresses[upstream]
+        try:
+            _, link = await self.loop.create_connection(lambda: UpstreamConnection(self, upstream),
+                                                        host, port)
+        except OSError as failure:
+            outcome = decide.UNSENT if failure.errno in OURS else decide.UNCONNECTED
+            if self.dials.pop(transmission, None):
+                self.turn.ended(transmission, outcome, None)
+            return
+        self.open.add(link)
+        if self.dials.pop(transmission, None) is None:
+            link.abort()
+        elif link.transport.is_closing():
+            self.turn.ended(transmission, decide.UNCONNECTED, None)
+        else:
+            transmission.dial_until = None
+            link.begin(transmission, self.clock.now())
+
+    def stop(self, transmission: Transmission) -> bool:
+        """Stops waiting; True if it may have run, False if not even its connection had come up."""
+        task = self.dials.pop(transmission, None)
+        if task is not None:
+            task.cancel()
+            return False
+        link = transmission.link
+        may_have_run = link is not None and link.transmission is transmission
+        if may_have_run:
+            link.abort()
+        return may_have_run
+
+    def keep(self, link: UpstreamConnection) -> None:
+        self.idle.put(link.upstream, link, self.clock.now())
+
+    def closed(self, link: UpstreamConnection) -> None:
+        self.idle.drop(link)
+        self.open.discard(link)
+
+    def forget(self, upstream: int) -> None:
+        """Its process is another one now, or is gone."""
+        for link in self.idle.leave(upstream):
+            link.abort()
