--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -25,7 +25,8 @@
         self.clear()
 
     def clear(self) -> None:
-        self.headers, self.body, self.length, self.status, self.complete = [], [], 0, 0, False
+        self.headers, self.body, self.length, self.status = [], [], 0, 0
+        self.complete = self.lasting = False
 
     def begin(self, transmission: Transmission, now: int) -> None:
         self.transmission, transmission.link = transmission, self
@@ -100,11 +101,11 @@
         elif self.complete:
             raise MessageError("two answers")
         else:
-            self.complete = True
+            self.complete, self.lasting = True, self.parser.should_keep_alive()
 
     def finish(self) -> None:
         """A whole answer is here."""
-        keep = self.whole and self.parser.should_keep_alive() and not self.transport.is_closing()
+        keep = self.whole and self.lasting and not self.transport.is_closing()
         if self.status == 200:
             outcome, answer = decide.COMPLETED, Answer(passed_on(self.headers), b"".join(self.body))
         else:
