--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -2,12 +2,12 @@
 from base64 import b64decode, b64encode
 from math import ceil, floor, inf
 from typing import BinaryIO
-from zlib import crc32
 
 import orjson
 
 from shedgrade import decide
 from shedgrade.decide import Balancer, Rpc
+from shedgrade.memory.upstreams import Indices, tenths
 
 STATES = {"U": decide.READY, "L": decide.DRAINING, "D": decide.REMOVED}
 OUTCOMES = {"S": decide.COMPLETED, "E": decide.FAILED, "F": decide.TURNED_AWAY, "T": decide.TIMED_OUT,
@@ -75,10 +75,6 @@
     return value
 
 
-def tenths(ms: float) -> int:
-    return round(ms * 10)
-
-
 class Instance:
     """One sidecar on the wire: its balancer, its upstreams' indices, the RPCs that are still of interest."""
 
@@ -91,18 +87,10 @@
             raise BadInputError("conf", f"setting {missing} is missing") from missing
         except (TypeError, ValueError, IndexError, AttributeError) as wrong:
             raise BadInputError("conf", f"a setting has the wrong form: {wrong}") from wrong
-        self.indices: dict[str, int] = {}
-        self.addresses: list[str] = []
+        self.upstreams = Indices()
         self.rpcs: dict[int, Rpc] = {}
         self.armed = inf
 
-    def upstream(self, address: str) -> int:
-        index = self.indices.get(address)
-        if index is None:
-            index = self.indices[address] = len(self.addresses)
-            self.addresses.append(address)
-        return index
-
     def rpc(self, event: dict) -> Rpc:
         rpc = self.rpcs.get(event["txn"])
         if rpc is None:
@@ -126,10 +114,10 @@
             state = STATES.get(row.get("phase", "U"))
             if state is None:
                 raise BadInputError("rows.phase", f"{row['phase']!r} is unknown")
-            rows.append((self.upstream(row["upstream"]), index_below(row, "locality", self.zones), state,
-                         tenths(optional(row, "start_time", NUMBER, 0)), optional(row, "stripe", (int,), 0),
-                         crc32(row["upstream"].encode()), optional(row, "capacity_hint", NUMBER, 1),
-                         optional(row, "generation_hw", (int,), 0)))
+            rows.append(self.upstreams.row(
+                row["upstream"], index_below(row, "locality", self.zones), state,
+                tenths(optional(row, "start_time", NUMBER, 0)), optional(row, "stripe", (int,), 0),
+                optional(row, "capacity_hint", NUMBER, 1), optional(row, "generation_hw", (int,), 0)))
         self.balancer.list_changed(now, rows, kind != "D", kind != "C")
 
     def submit(self, event: dict, now: int, lists: dict, out: list) -> None:
@@ -161,7 +149,7 @@
         self.armed = inf
 
     def echo(self, event: dict, now: int, lists: dict, out: list) -> None:
-        index, outcome = self.indices.get(event["upstream"]), OUTCOMES.get(event["how"])
+        index, outcome = self.upstreams.by_id.get(event["upstream"]), OUTCOMES.get(event["how"])
         if index is None or not self.balancer.waiting.get(index):
             raise BadInputError("upstream", f"{event['upstream']!r} was not polled")
         if outcome is None:
@@ -198,7 +186,7 @@
         if answer is not None:
             what, value = answer
             if what >= 0:
-                self.say(out, "hand_off", txn=rpc.tag, upstream=self.addresses[what], limit=value / 10)
+                self.say(out, "hand_off", txn=rpc.tag, upstream=self.upstreams.ids[what], limit=value / 10)
             elif what == decide.EXHAUSTED:
                 self.say(out, "shed", txn=rpc.tag, stay_away=value / 10)
             else:
@@ -211,7 +199,7 @@
         for rpc in balancer.due(now):
             self.answer_for(rpc, now, out)
         for upstream in balancer.probes():
-            self.say(out, "poll", upstream=self.addresses[upstream])
+            self.say(out, "poll", upstream=self.upstreams.ids[upstream])
         if balancer.wants_list(now):
             self.say(out, "follow", active=True)
         told = balancer.tells(now)
