Descriptors and bytes are budgeted, own accepting, faults cost one RPC, open connections only

Upstreams that time out silently lose their idle connections: a new one that does not come up proves that nothing ran.

--- a/shedgrade/cli.py
+++ b/shedgrade/cli.py
@@ -1,6 +1,5 @@
 """The command line."""
 import asyncio
-import gc
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -33,7 +32,6 @@
     async def run() -> None:
         await Sidecar(load(config and str(config)), asyncio.get_running_loop()).serve()
 
-    gc.freeze()     # what was loaded so far stays: collections need not look at it again
     try:
         uvloop.run(run())
     except ConfigError as wrong:
--- a/shedgrade/lifecycle/sidecar.py
+++ b/shedgrade/lifecycle/sidecar.py
@@ -1,8 +1,7 @@
 """The sidecar as one object, from start to exit; its phases are named and change only as allowed."""
 import asyncio
-import fcntl
+import gc
 import signal
-import termios
 from enum import Enum
 
 from loguru import logger
@@ -10,14 +9,17 @@
 from shedgrade import decide
 from shedgrade.clock import Clock
 from shedgrade.lifecycle.config import Config, ConfigError
+from shedgrade.memory.budget import Budget
+from shedgrade.memory.upstreams import tenths
 from shedgrade.turn import Turn
-from shedgrade.wire.application import ApplicationConnection
+from shedgrade.wire.application import ApplicationConnection, Listener
 from shedgrade.wire.discovery import DiscoveryWatch, ListError, ListReader
 from shedgrade.wire.upstream import Caller
 
 KEEP_ACCEPTING = 0.5    # s after SIGTERM: new connections may still come for 0.4 s
+AT_LAST = 0.6           # s beyond the longest hard deadline after which what is left is cut: SIGKILL is near
 IDLE_MARGIN = 10_000    # tenths of a ms before the idle limit: the upstream's timer must not be first
-RESERVE = 64            # descriptors beside connections: epoll, pipes, standard streams, discovery
+BETWEEN = 10.0          # s between two lines about the same crowd
 LOOK = 0.05             # s between two looks at whether all is answered and closed
 
 
@@ -44,27 +46,28 @@
         self.config, self.loop = config, loop
         self.phase = Phase.STARTING
         self.clock = Clock()
+        self.budget = Budget(config.sockets, config.memory_mb)
         settings = config.settings
         try:
             self.balancer = decide.Balancer(settings, config.seed, self.clock.now())
             self.reader = ListReader(settings)
             self.methods = {method["name"].encode(): number
                             for number, method in enumerate(settings["methods"])}
-            dial, idle = (int(settings["limits"][name] * 10) for name in ("dial_timeout", "idle_close"))
+            self.longest = max(method["hard_deadline"] for method in settings["methods"]) / 1000
+            dial, idle = (tenths(settings["limits"][name]) for name in ("dial_timeout", "idle_close"))
         except KeyError as missing:
             raise ConfigError(f"settings: {missing} is missing") from missing
-        except (AttributeError, IndexError, TypeError, ValueError) as wrong:
+        except (AttributeError, IndexError, OverflowError, TypeError, ValueError) as wrong:
             raise ConfigError(f"settings: a value has the wrong form ({wrong})") from wrong
-        most = (config.sockets - RESERVE) // 2
-        self.most_clients = config.sockets - RESERVE - most
         self.caller = Caller(loop, self.clock, self.reader.addresses.known, dial,
-                             max(idle - IDLE_MARGIN, idle // 2), most)
-        self.turn = Turn(loop, self.clock, self.balancer, self.caller, self.reader.indices.ids)
+                             max(idle - IDLE_MARGIN, idle // 2), self.budget)
+        self.turn = Turn(loop, self.clock, self.balancer, self.caller, self.reader.indices.ids, self.budget)
         self.caller.turn = self.turn
         self.watch = DiscoveryWatch(loop, config.discovery, self.reader, self.listed, self.turn.list_failed,
                                     self.balancer.span)
-        self.clients: dict[ApplicationConnection, None] = {}
-        self.listed_once, self.server = False, None
+        self.clients: dict[ApplicationConnection, None] = {}    # the longest unused first
+        self.listed_once, self.listener, self.last_look = False, None, 0.0
+        self.crowd_told = -BETWEEN
         self.done = asyncio.Event()
 
     def enter(self, phase: Phase) -> None:
@@ -91,68 +94,92 @@
             logger.info("list generation {}: {} entries{}", self.reader.version, len(rows), ", whole" * whole)
         self.listed_once = True
 
-    # --- connections of the application
+    # --- connections of the application, and what there is room for
 
     def opened(self, connection: ApplicationConnection) -> None:
         self.clients[connection] = None
-        if len(self.clients) > self.most_clients:
-            # The longest known idle one goes; its client opens another if it needs one.
-            idle = next((one for one in self.clients if one is not connection and self.closable(one)), None)
-            if idle is not None:
-                idle.close()
+        self.budget.clients = len(self.clients)
 
-    def closed(self, connection: ApplicationConnection) -> None:
-        self.clients.pop(connection, None)
+    def used(self, connection: ApplicationConnection) -> None:
+        """It has been answered: of all, it is now the one used last."""
+        if self.clients.pop(connection, self) is None:
+            self.clients[connection] = None
 
-    @staticmethod
-    def closable(connection: ApplicationConnection) -> bool:
-        """Idle, and nothing unread in the kernel either: closing then loses no request."""
-        if not connection.idle() or connection.transport.is_closing():
-            return False
-        handle = connection.transport.get_extra_info("socket").fileno()
-        return fcntl.ioctl(handle, termios.FIONREAD, b"\0\0\0\0") == b"\0\0\0\0"
+    def closed(self, connection: ApplicationConnection) -> None:
+        if self.clients.pop(connection, self) is None:
+            self.budget.clients = len(self.clients)
+
+    def make_room(self) -> bool:
+        """Room for one more connection of the application: the longest unused idle one goes."""
+        self.budget.clients = len(self.clients) + len(self.listener.tasks)
+        if not self.budget.full_of_clients():
+            return True
+        if self.budget.full() and self.caller.give_up_idle():
+            return True
+        unused = next((one for one in self.clients if one.idle()), None) or next(
+            (one for one in self.clients if one.unanswered() == 0), None)
+        if unused is not None:
+            unused.transport.abort()
+        if self.loop.time() >= self.crowd_told + BETWEEN:
+            self.crowd_told = self.loop.time()
+            logger.warning("{} connections of the application: unused ones are closed", len(self.clients))
+        return False
+
+    def room_for(self, count: int) -> bool:
+        return self.budget.bytes + count <= self.budget.most_bytes
 
     # --- from start to exit
 
     async def serve(self) -> None:
+        self.loop.set_exception_handler(self.fault)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.drain)
         if self.config.known:
             try:
                 self.listed(self.config.known, asked=False)
             except ListError as wrong:
                 logger.warning("the known list is of no use: {}", wrong)
-        watching = self.loop.create_task(self.watch.run())
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.drain)
-        host, port = self.config.listen
         try:
-            self.server = await self.loop.create_server(lambda: ApplicationConnection(self), host, port,
-                                                        backlog=1024)
+            self.listener = Listener(self.loop, self, self.config.listen)
         except OSError as failure:
-            watching.cancel()
-            raise ConfigError(f"cannot listen on {host}:{port}: {failure.strerror}") from failure
-        if self.phase is Phase.STARTING:
-            self.enter(Phase.SERVING)
+            raise ConfigError(f"cannot listen on {':'.join(map(str, self.config.listen))}: "
+                              f"{failure.strerror}") from failure
+        watching = self.loop.create_task(self.watch.run())
+        self.listener.resume()
+        gc.collect()
+        gc.freeze()     # what is here now stays: collections need not look at it again
+        self.enter(Phase.SERVING)
         await self.done.wait()
         watching.cancel()
         self.watch.close()
         self.enter(Phase.CLOSED)
 
+    @staticmethod
+    def fault(loop, context: dict) -> None:
+        logger.error("fault in the loop: {}: {!r}", context.get("message"), context.get("exception"))
+
     def drain(self) -> None:
-        if self.phase in (Phase.STARTING, Phase.SERVING):
+        if self.phase is Phase.SERVING:
             self.enter(Phase.DRAINING)
+            self.last_look = self.loop.time() + self.longest + AT_LAST
             self.loop.call_later(KEEP_ACCEPTING, self.stop_accepting)
 
     def stop_accepting(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        if self.listener.waiting():
+            self.loop.call_later(LOOK, self.stop_accepting)
+            return
+        self.listener.close()
         self.close_idle()
 
     def close_idle(self) -> None:
         """Closes what is idle until nothing is left; whatever is unread is read and answered first."""
         for connection in list(self.clients):
-            if self.closable(connection):
+            if connection.idle():
                 connection.close()
-        if self.clients or self.turn.in_hand:
+        late = self.loop.time() >= self.last_look
+        if late:
+            logger.warning("{} connections cut at the end", len(self.clients))
+        if (self.clients or self.turn.in_hand) and not late:
             self.loop.call_later(LOOK, self.close_idle)
         else:
             self.done.set()
--- /dev/null
+++ b/shedgrade/memory/budget.py
@@ -0,0 +1,20 @@
+"""What the process may hold: descriptors and bytes, so that neither limit is ever met."""
+
+RESERVE = 64    # descriptors beside connections: epoll, pipes, standard streams, discovery, sockets closing
+SHARE = 6       # of the memory: copies of a body at most (two rings, parser, request, answer) and the program
+
+
+class Budget:
+    """Counts what is held; whoever asks for more gives up something idle first."""
+
+    def __init__(self, sockets: int, memory_mb: int) -> None:
+        self.most = max(16, sockets - RESERVE)
+        self.most_clients = self.most * 3 // 4      # the rest is left to upstreams, whoever connects here
+        self.most_bytes = memory_mb * 1024 * 1024 // SHARE
+        self.clients = self.upstreams = self.bytes = 0
+
+    def full(self) -> bool:
+        return self.clients + self.upstreams >= self.most
+
+    def full_of_clients(self) -> bool:
+        return self.clients >= self.most_clients or self.full()
--- a/shedgrade/memory/in_hand.py
+++ b/shedgrade/memory/in_hand.py
@@ -8,6 +8,9 @@
     def __init__(self, verb: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         self.verb, self.target, self.headers, self.body = verb, target, headers, body
 
+    def __len__(self) -> int:
+        return len(self.target) + len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
 
 class Answer:
     """A completed upstream answer."""
@@ -18,7 +21,11 @@
 
 
 class Carried:
-    """One RPC in hand: who asked, what was asked, the module's handle, and what is out."""
+    """One RPC in hand: who asked, what was asked, the module's handle, and what is out.
+
+    The client is told the end by one call of `completed(answer)`, `exhausted(wait)` or `errored()`: whatever
+    protocol it speaks, that is all the turn knows of it.
+    """
     __slots__ = ("client", "request", "rpc", "out", "done")
 
     def __init__(self, client: object, request: Request) -> None:
@@ -28,7 +35,7 @@
 
 
 class Transmission:
-    """One transmission; `link` is the connection that carries it, None once its end has been told."""
+    """One transmission; `link` is the connection that carries it, once there is one."""
     __slots__ = ("carried", "tx", "upstream", "sent", "until", "dial_until", "link")
 
     def __init__(self, carried: Carried, tx: int, upstream: int, sent: int, until: int) -> None:
@@ -37,4 +44,24 @@
         self.link = None
 
     def still_out(self) -> bool:
+        """False once its end has been told: what comes later reaches nobody."""
         return self.carried.out.get(self.tx) is self
+
+
+class InHand:
+    """All RPCs in hand, and the bytes that they hold."""
+
+    def __init__(self, budget) -> None:
+        self.budget, self.carried = budget, set()
+
+    def __len__(self) -> int:
+        return len(self.carried)
+
+    def add(self, carried: Carried) -> None:
+        self.carried.add(carried)
+        self.budget.bytes += len(carried.request)
+
+    def remove(self, carried: Carried) -> None:
+        if carried in self.carried:
+            self.carried.remove(carried)
+            self.budget.bytes -= len(carried.request)
--- a/shedgrade/memory/ring.py
+++ b/shedgrade/memory/ring.py
@@ -1,7 +1,7 @@
 """A byte ring: bytes go in at one end, views of them are read at the other."""
 
 SMALL = 4096            # an idle connection keeps so much: most heads with a short body fit
-MOST = 256 * 1024       # a message of the longest head and body, in and out, fits with room to spare
+MOST = 192 * 1024       # a message with the longest head and the longest body fits
 
 
 class RingFullError(Exception):
--- a/shedgrade/turn.py
+++ b/shedgrade/turn.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from shedgrade import decide
-from shedgrade.memory.in_hand import Answer, Carried, Transmission
+from shedgrade.memory.in_hand import Answer, Carried, InHand, Transmission
 
 ALLOWANCE = 20      # tenths of a ms that an answer takes out of here at the least, on an idle loop
 MOST_ALLOWED = 100  # more than that and the sidecar is overrun: then no allowance helps
@@ -20,11 +20,11 @@
 class Turn:
     """Owns the RPCs in hand and all calls on the decisions."""
 
-    def __init__(self, loop, clock, balancer: decide.Balancer, caller, names: list[str]) -> None:
+    def __init__(self, loop, clock, balancer: decide.Balancer, caller, names: list[str], budget) -> None:
         self.loop, self.clock, self.balancer, self.caller, self.names = loop, clock, balancer, caller, names
         self.events: list[tuple] = []
         self.actions: list[tuple] = []
-        self.in_hand: set[Carried] = set()
+        self.in_hand = InHand(budget)
         self.limits: list[tuple] = []       # (when, order, transmission): when its time is up
         self.order = count()
         self.timer, self.timer_at, self.scheduled = None, None, False
@@ -64,15 +64,30 @@
         while self.events:
             events, self.events = self.events, []
             for call, args in events:
-                call(now, *args)
-            for rpc in self.balancer.due(now):
-                self.decide(now, rpc.tag)
-            self.balancer.wants_list(now)   # the watch always follows on by itself
+                self.guarded(call, now, *args)
+            self.guarded(self.due, now)
             actions, self.actions = self.actions, []
             for call, args in actions:
-                call(*args)
+                self.guarded(call, *args)
         self.set_timer()
 
+    def guarded(self, call: Callable, *args) -> None:
+        """Guards against a fault of our own: it costs the RPC that met it, not the process and all others."""
+        try:
+            call(*args)
+        except Exception as failure:
+            logger.error("fault in {}: {!r}", getattr(call, "__name__", call), failure)
+            for carried in args:
+                carried = carried.carried if isinstance(carried, Transmission) else carried
+                if isinstance(carried, Carried) and not carried.done:
+                    self.finish(carried)
+                    carried.client.errored()
+
+    def due(self, now: int) -> None:
+        for rpc in self.balancer.due(now):
+            self.decide(now, rpc.tag)
+        self.balancer.wants_list(now)   # the watch always follows on by itself
+
     def set_timer(self) -> None:
         at = self.balancer.wake_at()
         while self.limits and not self.limits[0][2].still_out():
@@ -145,7 +160,7 @@
 
     def finish(self, carried: Carried) -> None:
         carried.done = True
-        self.in_hand.discard(carried)
+        self.in_hand.remove(carried)
 
     def stop(self, now: int, carried: Carried, numbers: list[int]) -> None:
         for tx in numbers:
@@ -173,6 +188,7 @@
                 continue
             upstream = self.names[transmission.upstream]
             if self.caller.stop(transmission):
+                self.caller.silent(transmission)
                 outcome = decide.TIMED_OUT
                 logger.debug("transmission to {} timed out", upstream)
             else:
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -1,13 +1,21 @@
 """The application's side: HTTP/1.1 requests come in, final answers go out."""
+import fcntl
+import select
+import socket
+import termios
 from collections import deque
 
 import httptools
+from loguru import logger
 
 from shedgrade.memory.in_hand import Answer, Carried, Request
 from shedgrade.wire.connection import LONGEST_BODY, LONGEST_HEAD, Connection, MessageError, passed_on
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 413: b"Content Too Large",
            502: b"Bad Gateway", 503: b"Service Unavailable"}
+BACKLOG = 1024          # connections that the kernel holds while the loop is busy
+AT_ONCE = 32            # connections accepted in one pass of the loop: what is open gets its turn too
+PAUSE = 0.005           # s until there may be room again: what was closed is gone by then
 LONGEST_TIMEOUT = 3_600_000     # ms that a client may say it waits: an hour, to keep out nonsense
 
 
@@ -21,7 +29,8 @@
         self.requests: deque = deque()      # whole requests that came early
         self.carried: Carried | None = None
         self.last = False                   # no request after the one in hand
-        self.reading = False
+        self.reading = False                # a loop of `read` is under way
+        self.begun = False                  # a request has begun to come and is not whole
         self.clear()
 
     def clear(self) -> None:
@@ -42,7 +51,16 @@
         self.sidecar.closed(self)
 
     def idle(self) -> bool:
-        return self.carried is None and not self.requests and not self.flushing and not len(self.incoming)
+        """Between two requests, and nothing unread in the kernel either: closing now loses no request."""
+        if self.carried is not None or self.requests or self.flushing or self.begun or self.incoming \
+                or self.transport.is_closing():
+            return False
+        handle = self.transport.get_extra_info("socket").fileno()
+        return fcntl.ioctl(handle, termios.FIONREAD, b"\0\0\0\0") == b"\0\0\0\0"
+
+    def unanswered(self) -> int:
+        """Requests that are whole and have no answer yet, and answers that are still being written."""
+        return len(self.requests) + (self.carried is not None) + self.flushing
 
     def close(self) -> None:
         self.last = True
@@ -98,6 +116,7 @@
             raise MessageError(status)
 
     def on_message_begin(self) -> None:
+        self.begun = True
         self.clear()
 
     def on_url(self, url: bytes) -> None:
@@ -119,6 +138,7 @@
         self.grown(len(body), LONGEST_BODY, 413)
 
     def on_message_complete(self) -> None:
+        self.begun = False
         self.requests.append((self.parser.get_method(), self.target, self.headers, b"".join(self.body),
                               not self.parser.should_keep_alive()))
         self.clear()
@@ -140,7 +160,11 @@
             self.answer(404)
             return
         kept = [(name, value) for name, value in passed_on(headers) if name.lower() != b"x-timeout-ms"]
-        self.carried = Carried(self, Request(verb, target, kept, body))
+        request = Request(verb, target, kept, body)
+        if not self.sidecar.room_for(len(request)):
+            self.exhausted(0)
+            return
+        self.carried = Carried(self, request)
         self.sidecar.turn.arrived(self.carried, method, int(wait), known.get(b"x-retried") == b"1")
 
     def completed(self, answer: Answer) -> None:
@@ -155,10 +179,11 @@
 
     def answer(self, status: int, headers: list = (), body: bytes = b"") -> None:
         self.carried = None
+        self.sidecar.used(self)
         if self.transport.is_closing():
             return
-        if self.sidecar.leaving():
-            self.last = self.last or not (self.requests or len(self.incoming))
+        if self.sidecar.leaving() and not (self.requests or self.begun or self.incoming):
+            self.last = True
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS[status])]
         lines += [b"%s: %s\r\n" % pair for pair in headers]
         if self.last:
@@ -166,3 +191,60 @@
         lines.append(b"Content-Length: %d\r\n\r\n" % len(body))
         if self.write(b"".join(lines), body):
             self.flushed()
+
+
+class Listener:
+    """Accepts the application's connections, as many as there is room for; the rest wait in the kernel."""
+
+    def __init__(self, loop, sidecar, address: tuple[str, int]) -> None:
+        self.loop, self.sidecar = loop, sidecar
+        self.socket = socket.create_server(address, backlog=BACKLOG)
+        self.socket.setblocking(False)
+        self.tasks: set = set()
+        self.accepting = False
+
+    def resume(self) -> None:
+        if not self.accepting and self.socket.fileno() >= 0:
+            self.accepting = True
+            self.loop.add_reader(self.socket, self.accept)
+
+    def pause(self) -> None:
+        if self.accepting:
+            self.accepting = False
+            self.loop.remove_reader(self.socket)
+
+    def waiting(self) -> bool:
+        """A connection waits to be accepted, or is being taken up."""
+        if self.tasks:
+            return True
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def accept(self) -> None:
+        for _ in range(AT_ONCE):
+            # Guards against a crowd: out of descriptors, the kernel's queue would be thrown away.
+            if not self.sidecar.make_room():
+                self.pause()
+                self.loop.call_later(PAUSE, self.resume)
+                return
+            try:
+                connection, _ = self.socket.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as failure:
+                logger.warning("accepting failed: {}", failure.strerror)
+                return
+            task = self.loop.create_task(self.take(connection))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def take(self, connection: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: ApplicationConnection(self.sidecar), connection)
+        except (OSError, RuntimeError):     # it was gone before it was taken up
+            connection.close()
+
+    def close(self) -> None:
+        self.pause()
+        self.socket.close()
--- a/shedgrade/wire/connection.py
+++ b/shedgrade/wire/connection.py
@@ -5,6 +5,7 @@
 from shedgrade.memory.ring import Ring
 
 LONGEST_BODY = LONGEST_HEAD = 64 * 1024
+READ_AHEAD = 64 * 1024      # bytes that may wait to be read: parsers take what comes, so no message must fit
 # Headers that belong to one connection, or that each side writes anew.
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
                  b"upgrade", b"content-length", b"expect"))
@@ -27,7 +28,7 @@
     """
 
     def __init__(self) -> None:
-        self.incoming, self.outgoing = Ring(), Ring()
+        self.incoming, self.outgoing = Ring(most=READ_AHEAD), Ring()
         self.transport: asyncio.Transport | None = None
         self.flushing = self.reading_paused = False
 
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -1,6 +1,7 @@
 """Discovery: the list of upstreams, first as it was last known, then by one watch after another."""
 import asyncio
 from collections.abc import Callable
+from math import inf
 
 import httptools
 import orjson
@@ -29,6 +30,7 @@
         self.zones = {name: number for number, name in enumerate(settings["zones"])}
         self.kinds = {name: number for number, name in enumerate(settings.get("shapes", []))}
         self.indices, self.addresses = Indices(), Addresses()
+        self.told: dict[str, dict] = {}     # by id: what was last said of an upstream
         self.version: int | None = None
 
     def read(self, message: object) -> tuple[list, bool, list[int]]:
@@ -37,26 +39,31 @@
             version, whole = message["generation"], message["reset"]
             if type(version) is not int or type(whole) is not bool:
                 raise ListError("generation or reset has the wrong type")
-            entries = [self.entry(instance) for instance in message["instances"]]
-        except (KeyError, TypeError, ValueError, AttributeError) as wrong:
+            # A change says what changed; one that an upstream is gone may say no more than that.
+            told = [{**self.told.get(instance["instanceId"], {}), **instance}
+                    for instance in message["instances"]]
+            entries = [self.entry(instance) for instance in told]
+        except (KeyError, OverflowError, TypeError, ValueError, AttributeError) as wrong:
             raise ListError(f"{type(wrong).__name__}: {wrong}") from wrong
         rows, moved = [], []
-        for row, address in entries:
+        for instance, (row, address) in zip(told, entries, strict=True):
+            self.told[row[0]] = instance
             row = self.indices.row(*row)
             rows.append(row)
-            if address is not None and self.addresses.move(row[0], address):
+            if self.addresses.move(row[0], address):
                 moved.append(row[0])
         self.version = version
         return rows, whole, moved
 
-    def entry(self, instance: dict) -> tuple[tuple, tuple | None]:
+    def entry(self, instance: dict) -> tuple[tuple, tuple]:
         name, state, started = instance["instanceId"], STATES[instance["lifecycle"]], instance["startedAtMs"]
         cell, weight = instance.get("cell", 0), instance.get("weight", 1.0)
-        if type(name) is not str or type(cell) is not int:
-            raise ListError("instanceId or cell has the wrong type")
+        if type(name) is not str or type(cell) is not int or not 0 <= float(weight) < inf:
+            raise ListError("instanceId, cell or weight has the wrong form")
         host, colon, port = instance["hostPort"].rpartition(":")
         if not host or not 0 < int(port) < 65536:
             raise ListError(f"hostPort {instance['hostPort']!r}")
+        host = host.strip("[]")
         return ((name, self.zones[instance["zone"]], state, tenths(started), cell, float(weight),
                  self.kinds.get(instance.get("machineType"), 0)), (host, int(port)))
 
--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -1,6 +1,7 @@
 """The upstreams' side: transmissions go out, each on a connection of its own while it lasts."""
 import asyncio
 import errno
+import select
 
 import httptools
 
@@ -22,6 +23,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transmission: Transmission | None = None
         self.whole = False      # the request's last byte has left this process
+        self.lost = False
         self.clear()
 
     def clear(self) -> None:
@@ -42,10 +44,16 @@
     def flushed(self) -> None:
         self.whole = True
 
-    def eof_received(self) -> None:
-        return None
+    def alive(self) -> bool:
+        """Nothing has come in meanwhile, not even the end: what is sent now goes to an open connection."""
+        if self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return not poll.poll(0)
 
     def connection_lost(self, failure: Exception | None) -> None:
+        self.lost = True
         self.caller.closed(self)
         # Only bytes that never left prove that it never ran; once the last may have left, a reset doesn't.
         self.end(decide.DROPPED if self.whole else decide.UNCONNECTED)
@@ -112,6 +120,7 @@
             away = self.status in (503, 504) and any(
                 name.lower() == b"x-not-processed" and value == b"1" for name, value in self.headers)
             outcome, answer = decide.TURNED_AWAY if away else decide.FAILED, None
+        self.caller.heard[self.upstream] = self.caller.clock.now()
         if keep:
             self.caller.keep(self)
         else:
@@ -123,11 +132,12 @@
     """Carries out transmissions: finds or opens a connection, and stops what is no longer wanted."""
 
     def __init__(self, loop, clock, addresses: dict[int, tuple[str, int]], dial_time: int, idle_limit: int,
-                 most: int) -> None:
-        self.loop, self.clock, self.addresses = loop, clock, addresses
-        self.dial_time, self.most = dial_time, most
+                 budget) -> None:
+        self.loop, self.clock, self.addresses, self.budget = loop, clock, addresses, budget
+        self.dial_time = dial_time
         self.idle = IdleConnections(idle_limit)
         self.open: set[UpstreamConnection] = set()
+        self.heard: dict[int, int] = {}     # by upstream: when it last answered anything
         self.dials: dict[Transmission, asyncio.Task] = {}
         self.turn = None
 
@@ -135,17 +145,16 @@
         for stale in self.idle.stale(now):
             stale.abort()
         link = self.idle.take(transmission.upstream, now)
-        while link is not None and link.transport.is_closing():
+        while link is not None and not link.alive():
+            link.abort()
             link = self.idle.take(transmission.upstream, now)
         if link is not None:
             link.begin(transmission, now)
             return
-        if len(self.open) + len(self.dials) >= self.most:
-            oldest = self.idle.oldest()
-            if oldest is None:
-                self.turn.ended(transmission, decide.UNSENT, None)
-                return
-            oldest.abort()
+        self.budget.upstreams = len(self.open) + len(self.dials)
+        if self.budget.full() and not self.give_up_idle():
+            self.turn.ended(transmission, decide.UNSENT, None)
+            return
         transmission.dial_until = now + self.dial_time
         self.dials[transmission] = self.loop.create_task(self.dial(transmission))
 
@@ -155,12 +164,13 @@
         try:
             _, link = await self.loop.create_connection(lambda: UpstreamConnection(self, upstream),
                                                         host, port)
-        except OSError as failure:
-            outcome = decide.UNSENT if failure.errno in OURS else decide.UNCONNECTED
+        except (OSError, RuntimeError) as failure:
+            outcome = decide.UNSENT if getattr(failure, "errno", None) in OURS else decide.UNCONNECTED
             if self.dials.pop(transmission, None):
                 self.turn.ended(transmission, outcome, None)
             return
-        self.open.add(link)
+        if not link.lost:
+            self.open.add(link)
         if self.dials.pop(transmission, None) is None:
             link.abort()
         elif link.transport.is_closing():
@@ -176,10 +186,22 @@
             task.cancel()
             return False
         link = transmission.link
-        may_have_run = link is not None and link.transmission is transmission
-        if may_have_run:
-            link.abort()
-        return may_have_run
+        if link is None or link.transmission is not transmission:
+            return False
+        link.abort()
+        return True
+
+    def silent(self, transmission: Transmission) -> None:
+        """Guards against a machine that vanished: its open connections stay silent, or are reset by a request
+        that may then have run, whereas a new one that does not come up proves that nothing ran."""
+        if self.heard.get(transmission.upstream, 0) < transmission.sent:
+            self.forget(transmission.upstream)
+
+    def give_up_idle(self) -> bool:
+        oldest = self.idle.oldest()
+        if oldest is not None:
+            oldest.abort()
+        return oldest is not None
 
     def keep(self, link: UpstreamConnection) -> None:
         self.idle.put(link.upstream, link, self.clock.now())
