--- a/shedgrade/lifecycle/sidecar.py
+++ b/shedgrade/lifecycle/sidecar.py
@@ -49,7 +49,9 @@
         self.budget = Budget(config.sockets, config.memory_mb)
         settings = config.settings
         try:
-            self.balancer = decide.Balancer(settings, config.seed, self.clock.now())
+            # The protocol has no message by which an upstream is asked, and none between sidecars.
+            limits = {**settings["limits"], "probes": False, "may_tell": False}
+            self.balancer = decide.Balancer({**settings, "limits": limits}, config.seed, self.clock.now())
             self.reader = ListReader(settings)
             self.methods = {method["name"].encode(): number
                             for number, method in enumerate(settings["methods"])}
@@ -57,7 +59,7 @@
             dial, idle = (tenths(settings["limits"][name]) for name in ("dial_timeout", "idle_close"))
         except KeyError as missing:
             raise ConfigError(f"settings: {missing} is missing") from missing
-        except (AttributeError, IndexError, OverflowError, TypeError, ValueError) as wrong:
+        except (ArithmeticError, AttributeError, IndexError, TypeError, ValueError) as wrong:
             raise ConfigError(f"settings: a value has the wrong form ({wrong})") from wrong
         self.caller = Caller(loop, self.clock, self.reader.addresses.known, dial,
                              max(idle - IDLE_MARGIN, idle // 2), self.budget)
@@ -117,7 +119,7 @@
         if self.budget.full() and self.caller.give_up_idle():
             return True
         unused = next((one for one in self.clients if one.idle()), None) or next(
-            (one for one in self.clients if one.unanswered() == 0), None)
+            (one for one in self.clients if not one.unanswered() and not one.unread()), None)
         if unused is not None:
             unused.transport.abort()
         if self.loop.time() >= self.crowd_told + BETWEEN:
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -52,15 +52,18 @@
 
     def idle(self) -> bool:
         """Between two requests, and nothing unread in the kernel either: closing now loses no request."""
-        if self.carried is not None or self.requests or self.flushing or self.begun or self.incoming \
-                or self.transport.is_closing():
-            return False
+        return not (self.unanswered() or self.begun or self.incoming or self.unread())
+
+    def unread(self) -> bool:
+        """Bytes wait in the kernel."""
+        if self.transport.is_closing():
+            return True
         handle = self.transport.get_extra_info("socket").fileno()
-        return fcntl.ioctl(handle, termios.FIONREAD, b"\0\0\0\0") == b"\0\0\0\0"
+        return fcntl.ioctl(handle, termios.FIONREAD, b"\0\0\0\0") != b"\0\0\0\0"
 
-    def unanswered(self) -> int:
-        """Requests that are whole and have no answer yet, and answers that are still being written."""
-        return len(self.requests) + (self.carried is not None) + self.flushing
+    def unanswered(self) -> bool:
+        """Requests that are whole and have no answer yet, or an answer that is still being written."""
+        return bool(self.requests) or self.carried is not None or self.flushing
 
     def close(self) -> None:
         self.last = True
@@ -86,7 +89,8 @@
         try:
             self.parser.feed_data(part)
         except httptools.HttpParserUpgrade:
-            self.requests.append(MessageError(400))
+            # Nothing else is spoken here: answered as a plain request, after which the connection ends.
+            self.requests[-1] = (*self.requests[-1][:-1], True)
         except httptools.HttpParserError as failure:
             why = failure.__context__
             self.requests.append(why if isinstance(why, MessageError) else MessageError(400))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,14 @@
-"""Settings and balancers for the tests."""
+"""Settings and balancers for the tests, and stand-ins for all that the sidecar speaks to."""
+import asyncio
+import json
+import socket
+from functools import wraps
+
+import uvloop
+
 from shedgrade import decide
+from shedgrade.lifecycle.config import Config
+from shedgrade.lifecycle.sidecar import Sidecar
 
 
 def method(idempotency="repeatable", group="all", payoff=1.0, soft=500.0, hard=1000.0, window=300.0):
@@ -29,3 +38,154 @@
     b.sums = [100.0, 150.0, 1000.0, 250.0, 1500.0]  # 1 ms whatever is in flight
     b.fit()
     return b
+
+
+# --- stand-ins on loopback for the sidecar on sockets
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return probe.getsockname()[1]
+
+
+async def read_message(reader):
+    """Head (lines, the first one first) and body of one HTTP message."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")[:-2]
+    length = next((int(line.split(":")[1]) for line in head if line.lower().startswith("content-length")), 0)
+    return head, await reader.readexactly(length)
+
+
+def message(status=200, body=b"", *headers):
+    lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+SILENT, CUT = object(), object()
+PATIENT = method("once", soft=2e4, hard=2e4)     # no test hangs on how fast the machine is
+
+
+class Server:
+    """A stand-in server: `script(head, body)` gives the bytes to answer, SILENT or CUT."""
+
+    def __init__(self, script):
+        self.script, self.seen, self.writers, self.connections = script, [], set(), 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.add(writer)
+        try:
+            while True:
+                head, body = await read_message(reader)
+                self.seen.append((head, body))
+                answer = self.script(head, body)
+                answer = await answer if asyncio.iscoroutine(answer) else answer
+                if answer is CUT:
+                    break
+                if answer is not SILENT:
+                    writer.write(answer)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+
+class World:
+    """A sidecar in this process, an upstream stand-in for each script given, and discovery."""
+
+    def __init__(self, *scripts, methods=None, known=True, sockets=1024, **limits):
+        self.conf = settings(methods or [PATIENT], limits={
+            "dial_timeout": 2e4, "idle_close": 15000.0, **limits}, shapes=["k"])
+        self.scripts, self.with_known, self.sockets = scripts, known, sockets
+        self.changes, self.version, self.watches = asyncio.Queue(), 1, 0
+
+    def entry(self, number, lifecycle="in_service", **more):
+        return {"instanceId": f"s-{number}", "hostPort": self.upstreams[number].address, "zone": "0",
+                "machineType": "k", "cell": 0, "lifecycle": lifecycle, "startedAtMs": 0, **more}
+
+    def list(self, *entries, reset=False):
+        return {"generation": self.version, "reset": reset, "instances": list(entries)}
+
+    async def tell(self, *entries, reset=False):
+        """Discovery tells a change; back once the sidecar has taken it and watches again."""
+        self.version += 1
+        await self.tell_raw(json.dumps(self.list(*entries, reset=reset)).encode())
+
+    async def tell_raw(self, body):
+        before = self.watches
+        self.changes.put_nowait(body)
+        await until(lambda: self.watches > before)
+
+    async def discover(self, head, body):
+        self.watches += 1
+        if "after=" not in head[0]:
+            entries = [self.entry(number) for number in range(len(self.upstreams))]
+            return message(200, json.dumps(self.list(*entries, reset=True)).encode())
+        return message(200, await self.changes.get())
+
+    async def __aenter__(self):
+        self.upstreams = [await Server(script).start() for script in self.scripts]
+        self.discovery = await Server(self.discover).start()
+        known = self.list(*(self.entry(number) for number in range(len(self.scripts))), reset=True)
+        host, port = self.discovery.address.split(":")
+        self.config = Config("n", ("127.0.0.1", free_port()), (host, int(port)), 1, 192, self.sockets,
+                             known if self.with_known else None, self.conf)
+        self.sidecar = Sidecar(self.config, asyncio.get_running_loop())
+        self.serving = asyncio.create_task(self.sidecar.serve())
+        await until(lambda: self.watches and self.sidecar.listed_once)
+        return self
+
+    async def __aexit__(self, *_):
+        self.sidecar.done.set()
+        if not self.serving.done():
+            await self.serving
+        self.sidecar.listener.close()
+        for server in (*self.upstreams, self.discovery):
+            server.stop()
+
+    async def connect(self):
+        return await asyncio.open_connection(*self.config.listen)
+
+    def sent(self):
+        return sum(len(upstream.seen) for upstream in self.upstreams)
+
+
+async def until(condition):
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+def request(body=b"", target="/m/7?x=1", wait=15000, name="a1", *headers):
+    lines = [f"POST {target} HTTP/1.1", "Host: api.internal", f"X-Request-ID: {name}",
+             f"X-Timeout-Ms: {wait}", *headers, f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+async def ask(world, raw=None, connection=None):
+    """Status, head and body of the sidecar's answer, on a connection of its own if none is given."""
+    reader, writer = connection or await world.connect()
+    writer.write(request() if raw is None else raw)
+    async with asyncio.timeout(20):
+        head, body = await read_message(reader)
+    if connection is None:
+        writer.close()
+    return int(head[0].split()[1]), head, body
+
+
+def on_sockets(scenario):
+    """Makes a test of a coroutine, on the loop that the sidecar runs on."""
+    @wraps(scenario)
+    def test():
+        uvloop.run(scenario())
+    return test
--- /dev/null
+++ b/tests/test_ring.py
@@ -0,0 +1,45 @@
+"""The byte ring against a plain string of bytes."""
+import pytest
+from hypothesis import given, seed
+from hypothesis import settings as run
+from hypothesis import strategies as st
+
+from shedgrade.memory.ring import Ring, RingFullError
+
+STEP = st.one_of(st.tuples(st.just("put"), st.binary(max_size=90)),
+                 st.tuples(st.just("read"), st.integers(1, 40)),
+                 st.tuples(st.just("consume"), st.integers(0, 90)))
+
+
+@seed(1)
+@run(max_examples=300, derandomize=True, deadline=None, database=None)
+@given(st.lists(STEP, max_size=40))
+def test_a_ring_is_a_queue_of_bytes_and_views_stay_valid(steps):
+    ring, model, fresh, views = Ring(16, 128), b"", 0, []
+    for what, value in steps:
+        if what == "consume":
+            value = min(value, len(model))
+            ring.consume(value)
+            model, views = model[value:], []    # views of what was consumed may be written over
+        elif what == "put":
+            if len(model) + len(value) > 128:
+                with pytest.raises(RingFullError):
+                    ring.put(value)
+                continue
+            ring.put(value)
+            model += value
+        elif not ring.full():
+            space = ring.space()
+            assert len(space) > 0
+            count = min(value, len(space))
+            data = bytes((fresh + n) % 256 for n in range(count))
+            fresh += count
+            space[:count] = data
+            ring.filled(count)
+            model += data
+        assert len(ring) == len(model) and b"".join(ring.parts()) == model
+        assert b"".join(ring.parts(len(model) // 2)) == model[len(model) // 2:]
+        views.append((ring.parts(), model))
+        assert all(b"".join(parts) == then for parts, then in views)
+    ring.consume(len(model))
+    assert len(ring.store) == 16
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,353 @@
+"""The sidecar on loopback, against stand-ins: one short test for each promise, and for each failure found."""
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import orjson
+import pytest
+from helpers import CUT, SILENT, World, ask, message, on_sockets, read_message, request, until
+from loguru import logger
+from typer.testing import CliRunner
+
+from shedgrade import decide
+from shedgrade.cli import app
+from shedgrade.lifecycle.sidecar import Phase, PhaseError
+
+
+def serve(head, body):
+    return message(200, body)
+
+
+def away(head, body):
+    return message(503, b"", "X-Not-Processed: 1")
+
+
+@on_sockets
+async def test_a_request_goes_on_unchanged_and_its_answer_comes_back():
+    async with World(serve) as world:
+        status, _, body = await ask(world, request(b"hello", "/m/a%20b?q=1", 15000, "id9", "X-Other: kept"))
+        head, seen = world.upstreams[0].seen[0]
+        assert (status, body, seen) == (200, b"hello", b"hello")
+        assert head[0] == "POST /m/a%20b?q=1 HTTP/1.1"
+        assert "X-Request-ID: id9" in head and "X-Other: kept" in head
+        told = [int(line.split(":")[1]) for line in head if line.startswith("X-Timeout-Ms")]
+        assert len(told) == 1 and 0 < told[0] < 15000
+
+
+@on_sockets
+async def test_answers_are_written_once_and_connections_are_kept():
+    # uvloop sends at once and then never calls resume_writing: the ring was not freed, answers came twice.
+    async with World(serve) as world:
+        connection = await world.connect()
+        for number in range(5):
+            assert (await ask(world, request(b"%d" % number), connection))[2] == b"%d" % number
+        assert world.upstreams[0].connections == 1 and len(world.sidecar.clients) == 1
+
+
+@on_sockets
+async def test_long_bodies_reach_a_slow_reader_whole():
+    long = os.urandom(64 * 1024)
+    async with World(serve) as world:
+        reader, writer = await asyncio.open_connection(*world.config.listen, limit=512)
+        for _ in range(20):
+            writer.write(request(long))
+        for _ in range(20):
+            head, body = await read_message(reader)
+            assert head[0].startswith("HTTP/1.1 200") and body == long
+        writer.close()
+
+
+@on_sockets
+async def test_chunks_from_a_client_are_put_together():
+    async with World(serve) as world:
+        raw = (b"POST /m HTTP/1.1\r\nX-Request-ID: a\r\nX-Timeout-Ms: 15000\r\n"
+               b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        connection = await world.connect()
+        for part in (raw[:50], raw[50:100], raw[100:]):
+            connection[1].write(part)
+            await asyncio.sleep(0.01)
+        head, body = await read_message(connection[0])
+        assert body == b"abcde"
+
+
+@on_sockets
+async def test_bad_requests_are_told_so_and_reach_no_upstream():
+    async with World(serve) as world:
+        good = request()
+        bad = {b"nonsense\r\n\r\n": 400, good.replace(b"X-Request-ID: a1\r\n", b""): 400,
+               good.replace(b"X-Timeout-Ms: 15000\r\n", b""): 400, good.replace(b"15000", b"-9"): 400,
+               good.replace(b"15000", b"0"): 400, good.replace(b"/m/", b"/none/"): 404,
+               good.replace(b"POST /m/7?x=1", b"CONNECT a:1"): 404,
+               good.replace(b"Content-Length: 0", b"Content-Length: x"): 400,
+               good.replace(b"Content-Length: 0", b"Content-Length: 65537"): 413,
+               good.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"10001\r\n"
+               + b"x" * 65537: 413,
+               good.replace(b"/m/7", b"/m/" + b"7" * 66000): 413,
+               good.replace(b"Host", b"H: " + b"h" * 66000 + b"\r\nHost"): 413}
+        for raw, status in bad.items():
+            assert (await ask(world, raw))[0] == status, raw[:80]
+        assert world.sent() == 0 and (await ask(world))[0] == 200
+
+
+@on_sockets
+async def test_what_never_ran_goes_elsewhere_and_what_may_have_run_does_not():
+    for first, sent in ((away, 2), (lambda *_: CUT, 1), (lambda *_: message(500), 1),
+                        (lambda *_: message(503), 1), (lambda *_: message(429), 1),
+                        (lambda *_: b"HTTP/1.1 200 X\r\nContent-Length: zzz\r\n\r\n", 1),
+                        (lambda *_: message(200, b"x" * 65537), 1),
+                        (lambda *_: message(200, b"", "X-Long: " + "x" * 66000), 1)):
+        async with World(first, first) as world:
+            status, _, _ = await ask(world)
+            assert world.sent() == sent and status == (503 if first is away else 502)
+
+
+@on_sockets
+async def test_a_refused_connection_goes_elsewhere():
+    async with World(serve, serve) as world:
+        world.upstreams[0].stop()
+        world.upstreams[0].server.close()
+        assert [(await ask(world))[0] for _ in range(4)] == [200] * 4
+        assert len(world.upstreams[1].seen) == 4
+
+
+@on_sockets
+async def test_a_short_answer_is_a_reset_not_an_answer():
+    def short(head, body):
+        return message(200, b"abc").replace(b"Content-Length: 3", b"Content-Length: 9") + b"\r\n"
+
+    async with World(short) as world:
+        asking = asyncio.create_task(ask(world))
+        await until(lambda: world.sent() == 1)
+        world.upstreams[0].stop()
+        assert (await asking)[0] == 502 and world.sent() == 1
+
+
+@on_sockets
+async def test_an_upstream_that_says_nothing_is_given_up_in_time_and_loses_its_idle_connections():
+    script = [message()]
+    async with World(lambda *_: script.pop() if script else SILENT) as world:
+        assert (await ask(world))[0] == 200
+        sidecar = world.sidecar
+        assert len(sidecar.caller.idle) == 1
+        assert (await ask(world, request(wait=250)))[0] == 502 and world.sent() == 2
+        assert len(sidecar.caller.idle) == len(sidecar.caller.open) == 0
+
+
+@on_sockets
+async def test_an_idle_connection_that_the_upstream_has_closed_is_not_used():
+    async with World(serve) as world:
+        assert (await ask(world))[0] == 200
+        link = next(iter(world.sidecar.caller.open))
+        link.transport.pause_reading()      # its end comes in, and the loop does not see it
+        for writer in world.upstreams[0].writers:
+            writer.close()
+        await until(lambda: not link.alive())
+        assert (await ask(world))[0] == 200 and world.sent() == 2
+
+
+@on_sockets
+async def test_a_connection_near_its_idle_limit_is_not_used():
+    async with World(serve, idle_close=100.0) as world:
+        caller = world.sidecar.caller
+        assert (await ask(world))[0] == 200 and len(caller.idle) == 1
+        now = world.sidecar.clock.now()
+        link = next(iter(caller.open))
+        assert caller.idle.take(0, now + 500) is None and len(caller.idle) == 1
+        assert caller.idle.stale(now + 500) == [link] and len(caller.idle) == 0
+
+
+@on_sockets
+async def test_a_client_that_leaves_stops_its_transmission_and_costs_nobody_else():
+    async with World(lambda head, body: SILENT if body == b"stay" else serve(head, body)) as world:
+        reader, writer = await world.connect()
+        writer.write(request(b"stay"))
+        await until(lambda: world.sent() == 1)
+        writer.close()
+        await until(lambda: not world.upstreams[0].writers)
+        assert len(world.sidecar.turn.in_hand) == 0 and world.sidecar.budget.bytes == 0
+        assert (await ask(world))[0] == 200
+
+
+@on_sockets
+async def test_requests_that_come_early_are_answered_in_order():
+    async with World(serve) as world:
+        connection = await world.connect()
+        connection[1].write(b"".join(request(b"%d" % number) for number in range(40)))
+        for number in range(40):
+            assert (await read_message(connection[0]))[1] == b"%d" % number
+        connection[1].write(b"GET /up HTTP/1.1\r\n\r\n" * 2000)
+        for _ in range(2000):
+            assert (await read_message(connection[0]))[0][0] == "HTTP/1.1 200 OK"
+
+
+@on_sockets
+async def test_the_list_is_followed_and_bad_news_keep_the_old_one():
+    lines = []
+    sink = logger.add(lines.append, format="{message}")
+    async with World(serve, serve) as world:
+        await world.tell(world.entry(0, "terminating"))
+        assert [(await ask(world))[0] for _ in range(3)] == [200] * 3 and not world.upstreams[0].seen
+        for wrong in (b"{", b"[]", b'{"generation":9,"reset":true,"instances":[{}]}',
+                      b'{"generation":9,"reset":true,"instances":[{"instanceId":7}]}'):
+            await world.tell_raw(wrong)
+        assert any("the old list stays" in line for line in lines)
+        assert [(await ask(world))[0] for _ in range(3)] == [200] * 3 and len(world.upstreams[1].seen) == 6
+        await world.tell(world.entry(0), reset=True)    # a whole list that no longer names the other
+        assert [(await ask(world))[0] for _ in range(3)] == [200] * 3 and len(world.upstreams[0].seen) == 3
+        await world.tell({"instanceId": "s-0", "lifecycle": "terminated"})
+        assert (await ask(world))[0] == 503 and world.sent() == 9
+    logger.remove(sink)
+
+
+@on_sockets
+async def test_up_says_when_a_list_is_there():
+    async with World(serve, known=False) as world:
+        assert (await ask(world, b"GET /up HTTP/1.1\r\n\r\n"))[0] == 200
+        world.sidecar.listed_once = False
+        assert (await ask(world, b"GET /up HTTP/1.1\r\n\r\n"))[0] == 503
+
+
+@on_sockets
+async def test_at_a_planned_restart_all_is_answered_and_nothing_is_cut():
+    release = asyncio.Event()
+
+    async def late(head, body):
+        await release.wait()
+        return serve(head, body)
+
+    async with World(late, late) as world:
+        idle = await world.connect()
+        held = asyncio.create_task(ask(world, request(b"held")))
+        await until(lambda: world.sent() == 1)
+        world.sidecar.drain()
+        assert world.sidecar.phase is Phase.DRAINING
+        fresh = asyncio.create_task(ask(world, request(b"fresh")))      # new connections still come
+        await until(lambda: world.sent() == 2)
+        assert await idle[0].read() == b""      # the idle one is closed, the others are not
+        release.set()
+        for asking, body in ((held, b"held"), (fresh, b"fresh")):
+            status, head, got = await asking
+            assert (status, got) == (200, body) and "Connection: close" in head
+        await world.serving
+        assert world.sidecar.phase is Phase.CLOSED
+        with pytest.raises(PhaseError):
+            world.sidecar.enter(Phase.SERVING)
+
+
+@on_sockets
+async def test_a_request_that_is_on_its_way_at_a_restart_is_answered():
+    async with World(serve) as world:
+        half = await world.connect()
+        raw = request(b"0123456789")
+        half[1].write(raw[:-5])
+        await until(lambda: any(one.begun for one in world.sidecar.clients))
+        world.sidecar.stop_accepting()
+        assert len(world.sidecar.clients) == 1 and not world.serving.done()
+        status, _, body = await ask(world, raw[-5:], half)
+        assert (status, body) == (200, b"0123456789")
+        await world.serving
+
+
+@on_sockets
+async def test_in_a_crowd_unused_connections_go_first_and_requests_are_still_answered():
+    async with World(serve, sockets=100) as world:      # 36 for connections, 27 of them for clients
+        crowd = [await world.connect() for _ in range(60)]
+        assert [(await ask(world))[0] for _ in range(5)] == [200] * 5
+        assert len(world.sidecar.clients) <= world.sidecar.budget.most_clients
+        for _, writer in crowd:
+            writer.close()
+
+
+@on_sockets
+async def test_without_descriptors_idle_upstreams_go_first_and_then_nothing_is_sent():
+    async with World(serve, serve) as world:
+        while len(world.sidecar.caller.open) < 2:
+            assert (await ask(world))[0] == 200
+        world.sidecar.budget.most = 2
+        for writer in world.upstreams[0].writers | world.upstreams[1].writers:
+            writer.transport.pause_reading()
+        assert (await ask(world))[0] in (200, 503)
+        assert len(world.sidecar.caller.open) <= 2
+
+
+@on_sockets
+async def test_requests_over_the_budget_of_bytes_are_refused_at_once():
+    async with World(serve) as world:
+        world.sidecar.budget.most_bytes = 1000
+        assert (await ask(world, request(b"x" * 2000)))[0] == 503 and world.sent() == 0
+        assert (await ask(world, request(b"x")))[0] == 200
+
+
+@on_sockets
+async def test_a_fault_of_the_decisions_costs_the_rpc_that_met_it():
+    async with World(serve) as world:
+        def broken(*_):
+            raise ZeroDivisionError
+
+        world.sidecar.balancer.choose, whole = broken, world.sidecar.balancer.choose
+        assert (await ask(world))[0] == 502
+        world.sidecar.balancer.choose = whole
+        assert (await ask(world))[0] == 200
+
+
+@on_sockets
+async def test_an_outcome_is_told_once():
+    async with World(serve) as world:
+        ends, ended = [], decide.Rpc.ended
+        decide.Rpc.ended = lambda rpc, now, tx, outcome, *more: (ends.append(outcome),
+                                                                 ended(rpc, now, tx, outcome, *more))[1]
+        try:
+            assert (await ask(world))[0] == 200
+            link = next(iter(world.sidecar.caller.open))
+            link.connection_lost(None)
+            link.connection_lost(None)
+            assert (await ask(world))[0] == 200
+        finally:
+            decide.Rpc.ended = ended
+        assert ends == [decide.COMPLETED] * 2
+
+
+def config_file(folder, **changes):
+    text = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
+            "limits": {"sockets": 1024, "memory_mb": 192}, "settings": World().conf, **changes}
+    path = folder / "config.json"
+    path.write_bytes(orjson.dumps({name: value for name, value in text.items() if value is not None}))
+    return str(path)
+
+
+@pytest.mark.parametrize("changes", [{"listen": "nowhere"}, {"listen": None}, {"settings": {}},
+                                     {"settings": None}, {"seed": "not hex"}, {"seed": 7}, {"limits": []},
+                                     {"settings": {**World().conf, "methods": []}}])
+def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, changes):
+    result = CliRunner().invoke(app, ["check-config", "--config", config_file(tmp_path, **changes)])
+    assert result.exit_code == 2 and len(result.output.strip().splitlines()) == 1
+
+
+def test_a_good_configuration_is_called_so(tmp_path):
+    result = CliRunner().invoke(app, ["check-config", "--config", config_file(tmp_path)])
+    assert result.exit_code == 0 and "1 methods" in result.output
+
+
+def test_the_process_starts_answers_and_exits_0_on_sigterm(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    known = {"generation": 1, "reset": True, "instances": []}
+    path = config_file(tmp_path, listen=f"127.0.0.1:{port}", known=known)
+    process = subprocess.Popen([sys.executable, "-m", "shedgrade", "serve"], stderr=subprocess.PIPE,
+                               text=True, env={**os.environ, "GW_CONFIG": path})
+    try:
+        for line in process.stderr:
+            if "starting to serving" in line:
+                break
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+            assert client.recv(100).startswith(b"HTTP/1.1 200")
+        process.send_signal(signal.SIGTERM)
+        rest = process.stderr.read()
+        assert process.wait() == 0 and "draining to closed" in rest and "Traceback" not in rest
+    finally:
+        process.kill()
+        process.wait()
