Nothing is sent for a client that left in the same turn; the turn and connections tested in memory

Found by generated happenings on the turn (in memory): an RPC taken and left within one turn was still sent, then cut. The model also holds each RPC to one answer in time and each outcome to one telling.

--- a/shedgrade/turn.py
+++ b/shedgrade/turn.py
@@ -172,7 +172,8 @@
     # --- what is carried out
 
     def transmit(self, transmission: Transmission, now: int) -> None:
-        if transmission.still_out():
+        # Guards against a client that left in the same turn: nothing is sent for it any more.
+        if transmission.still_out() and not transmission.carried.done:
             self.caller.transmit(transmission, now)
             if transmission.dial_until is not None and transmission.dial_until < transmission.until:
                 heappush(self.limits, (transmission.dial_until, next(self.order), transmission))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,9 +2,11 @@
 import asyncio
 import json
 import socket
+from contextlib import contextmanager
 from functools import wraps
 
 import uvloop
+from loguru import logger
 
 from shedgrade import decide
 from shedgrade.lifecycle.config import Config
@@ -55,6 +57,19 @@
     return head, await reader.readexactly(length)
 
 
+def read_all(stream):
+    """All messages in a string of bytes, as `read_message` gives them; a rest is an error."""
+    found = []
+    while stream:
+        head, stream = stream.split(b"\r\n\r\n", 1)
+        lines = head.decode().split("\r\n")
+        length = next(int(line.split(":")[1]) for line in lines if line.lower().startswith("content-length"))
+        found.append((lines, stream[:length]))
+        assert len(stream) >= length
+        stream = stream[length:]
+    return found
+
+
 def message(status=200, body=b"", *headers):
     lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode() + body
@@ -183,9 +198,26 @@
     return int(head[0].split()[1]), head, body
 
 
+@contextmanager
+def no_faults():
+    """What ends with a fault of the program in the log has failed, however well it was got over."""
+    faults = []
+    sink = logger.add(faults.append, level="ERROR", format="{message}")
+    try:
+        yield faults
+    finally:
+        logger.remove(sink)
+    assert not faults, faults
+
+
 def on_sockets(scenario):
     """Makes a test of a coroutine, on the loop that the sidecar runs on."""
+    async def limited():
+        async with asyncio.timeout(60):
+            await scenario()
+
     @wraps(scenario)
     def test():
-        uvloop.run(scenario())
+        with no_faults():
+            uvloop.run(limited())
     return test
--- /dev/null
+++ b/tests/test_in_memory.py
@@ -0,0 +1,257 @@
+"""The turn and a connection of the application, in memory, on generated happenings."""
+from collections import Counter
+from types import SimpleNamespace
+
+from helpers import method, no_faults, read_all, request, row, settings
+from hypothesis import given, seed
+from hypothesis import settings as run
+from hypothesis import strategies as st
+
+from shedgrade import decide
+from shedgrade.memory.budget import Budget
+from shedgrade.memory.in_hand import Answer, Carried, Request
+from shedgrade.turn import Turn
+from shedgrade.wire.application import ApplicationConnection
+
+GENERATED = run(max_examples=200, derandomize=True, deadline=None, database=None)
+
+
+class Loop:
+    """Time stands still until it is moved on; what was called soon runs when told."""
+
+    def __init__(self):
+        self.time, self.soon, self.timers = 0, [], []
+
+    def now(self):
+        return self.time
+
+    def on_monotonic(self, at):
+        return at
+
+    def call_soon(self, call):
+        self.soon.append(call)
+
+    def call_at(self, at, call):
+        timer = SimpleNamespace(at=at, call=call)
+        timer.cancel = lambda: timer in self.timers and self.timers.remove(timer)
+        self.timers.append(timer)
+        return timer
+
+    def run(self):
+        while self.soon:
+            calls, self.soon = self.soon, []
+            for call in calls:
+                call()
+
+    def wait(self, until):
+        while self.timers and min(timer.at for timer in self.timers) <= until:
+            timer = min(self.timers, key=lambda timer: timer.at)
+            self.timers.remove(timer)
+            self.time = max(self.time, timer.at)
+            timer.call()
+            self.run()
+        self.time = until
+
+
+class Client:
+    def __init__(self, day):
+        self.day, self.finals, self.left = day, [], False
+
+    def completed(self, answer):
+        self.finals.append(answer.body)
+
+    def exhausted(self, wait):
+        self.finals.append("exhausted")
+
+    def errored(self):
+        self.finals.append("errored")
+
+
+class Day:
+    """A turn with a stand-in for everything round it; holds what it does against what is allowed."""
+
+    def __init__(self, conf):
+        self.loop, self.carried, self.out, self.told, self.wrong = Loop(), [], [], Counter(), 0
+        self.balancer = decide.Balancer(conf, 1, 0)
+        self.turn = Turn(self.loop, self.loop, self.balancer, self, list("0123"), Budget(100, 1))
+        self.turn.listed([row(up, up % 2) for up in range(4)], True, False)
+        self.loop.run()
+
+    def transmit(self, transmission, now):
+        client = transmission.carried.client
+        self.wrong += bool(client.finals or client.left)
+        self.out.append(transmission)
+
+    def stop(self, transmission):
+        return True
+
+    def silent(self, transmission):
+        pass
+
+    def take(self, number, wait):
+        client = Client(self)
+        carried = Carried(client, Request(b"POST", b"/m", [], b"x"))
+        self.carried.append((carried, self.loop.time + wait * 10))
+        self.turn.arrived(carried, number, wait, False)
+
+    def end(self, which, outcome):
+        if self.out:
+            transmission = self.out[which % len(self.out)]
+            self.turn.ended(transmission, outcome, Answer([], transmission))
+
+
+STEP = st.one_of(st.tuples(st.just("take"), st.integers(0, 1), st.integers(1, 1500)),
+                 st.tuples(st.just("end"), st.integers(0, 30), st.integers(1, 6)),
+                 st.tuples(st.just("leave"), st.integers(0, 30), st.just(0)),
+                 st.tuples(st.just("list"), st.integers(0, 3), st.integers(0, 2)),
+                 st.tuples(st.just("run"), st.just(0), st.just(0)),
+                 st.tuples(st.just("wait"), st.integers(1, 3000), st.just(0)))
+
+
+@seed(2)
+@GENERATED
+@given(st.lists(STEP, max_size=60), st.booleans())
+def test_every_rpc_gets_one_answer_in_time_and_every_outcome_is_told_once(steps, parallel):
+    conf = settings([method("repeatable"), method("once")], zones=2, limits={"parallel_tries": parallel})
+    with no_faults():
+        live(conf, steps)
+
+
+def live(conf, steps):
+    day, ended = Day(conf), decide.Rpc.ended
+
+    def counted(rpc, now, tx, *more):
+        day.told[rpc, tx] += 1
+        return ended(rpc, now, tx, *more)
+
+    decide.Rpc.ended = counted
+    try:
+        for what, a, b in steps:
+            if what == "take":
+                day.take(a, b)
+            elif what == "end":
+                day.end(a, b)       # also one that has ended before: nobody must hear of it again
+            elif what == "list":
+                day.turn.listed([row(a, a % 2, b)], False, True)
+            elif what == "leave" and day.carried:
+                carried = day.carried[a % len(day.carried)][0]
+                if not carried.client.finals:
+                    carried.client.left = True
+                    day.turn.left(carried)
+            elif what == "wait":
+                day.loop.run()
+                day.loop.wait(day.loop.time + a)
+            else:
+                day.loop.run()
+            for carried, until in day.carried:
+                assert len(carried.client.finals) <= 1
+                assert carried.client.finals or carried.client.left or day.loop.time <= until
+        day.loop.run()
+        day.loop.wait(day.loop.time + 40_000)
+    finally:
+        decide.Rpc.ended = ended
+    assert all(carried.client.finals or carried.client.left for carried, _ in day.carried)
+    assert len(day.turn.in_hand) == day.turn.in_hand.budget.bytes == 0
+    assert all(day.told[carried.rpc, tx] == 1 for carried, _ in day.carried if carried.rpc
+               for tx in range(len(carried.rpc.tries)))
+    assert day.balancer.flight == day.wrong == 0 and set(day.told.values()) <= {1}
+
+
+class Transport:
+    """Takes what is written, all at once or only when told."""
+
+    def __init__(self, connection):
+        self.connection, self.written, self.views, self.slow, self.reading = connection, b"", [], False, True
+        self.closed = False
+
+    def set_write_buffer_limits(self, high):
+        assert high == 0
+
+    def write(self, view):
+        if self.slow or self.views:
+            if not self.views:
+                self.connection.pause_writing()
+            self.views.append(view)
+        else:
+            self.written += view
+
+    def flush(self):
+        views, self.views = self.views, []
+        if views:
+            self.written += b"".join(views)
+            self.connection.resume_writing()
+
+    def is_closing(self):
+        return self.closed
+
+    def close(self):
+        self.closed = True
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+
+BODY = st.one_of(st.binary(max_size=30), st.integers(20, 240).map(lambda times: bytes(range(250)) * times))
+
+
+@seed(3)
+@GENERATED
+@given(st.lists(BODY, min_size=1, max_size=6), st.lists(st.integers(1, 40_000), min_size=1, max_size=8),
+       st.lists(st.booleans(), min_size=1, max_size=5))
+def test_requests_cut_anyhow_are_answered_once_each_and_in_order(bodies, cuts, slow):
+    taken = []
+    turn = SimpleNamespace(arrived=lambda carried, *_: taken.append(carried))
+    sidecar = SimpleNamespace(methods={b"m": 0}, turn=turn, opened=lambda _: None, used=lambda _: None,
+                              room_for=lambda _: True, leaving=lambda: False)
+    connection = ApplicationConnection(sidecar)
+    transport = Transport(connection)
+    connection.connection_made(transport)
+    stream, step, answered = b"".join(request(body) for body in bodies), 0, 0
+    least = len(stream) // 1000 + 1
+    while answered < len(bodies) or transport.views:
+        step += 1
+        assert step < 20_000
+        transport.slow = slow[step % len(slow)]
+        if stream and transport.reading:
+            space = connection.get_buffer(-1)
+            count = min(max(least, cuts[step % len(cuts)]), len(stream), len(space))
+            assert count > 0
+            space[:count] = stream[:count]
+            stream = stream[count:]
+            connection.buffer_updated(count)
+        elif transport.views:
+            transport.flush()
+        elif answered < len(taken):
+            answered += 1
+            taken[answered - 1].client.completed(Answer([], taken[answered - 1].request.body))
+    assert [body for _, body in read_all(transport.written)] == bodies
+    assert connection.incoming.size == connection.outgoing.size == 0 and transport.reading
+
+
+@seed(4)
+@GENERATED
+@given(st.lists(st.one_of(st.binary(max_size=60), st.sampled_from([request(b"x"), request()[:40], b"\r\n\r\n",
+       b"POST /m HTTP/1.1\r\n", b"Content-Length: 9\r\n", b"Transfer-Encoding: chunked\r\n", b"0\r\n\r\n"])),
+       max_size=8))
+def test_nothing_that_comes_in_gets_past_the_connection_as_an_exception(pieces):
+    taken = []
+    turn = SimpleNamespace(arrived=lambda carried, *_: taken.append(carried), left=lambda carried: None)
+    sidecar = SimpleNamespace(methods={b"m": 0}, turn=turn, opened=lambda _: None, used=lambda _: None,
+                              room_for=lambda _: True, leaving=lambda: False, ready=lambda: True,
+                              closed=lambda _: None)
+    connection = ApplicationConnection(sidecar)
+    transport = Transport(connection)
+    connection.connection_made(transport)
+    for piece in pieces:
+        if piece and not transport.closed:
+            connection.get_buffer(-1)[:len(piece)] = piece
+            connection.buffer_updated(len(piece))
+            while connection.carried:
+                connection.carried.client.errored()
+    answers = [int(head[0].split()[1]) for head, _ in read_all(transport.written)]
+    assert set(answers) <= {200, 400, 404, 413, 502} and answers.count(502) == len(taken)
+    assert all(status not in (400, 413) for status in answers[:-1]) or not transport.closed
+    connection.connection_lost(None)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -312,16 +312,20 @@
         assert (await ask(world, request(b"x")))[0] == 200
 
 
-@on_sockets
-async def test_a_fault_of_the_decisions_costs_the_rpc_that_met_it():
-    async with World(serve) as world:
-        def broken(*_):
-            raise ZeroDivisionError
+def test_a_fault_of_the_decisions_costs_the_rpc_that_met_it():
+    def broken(*_):
+        raise ZeroDivisionError
+
+    @on_sockets
+    async def scenario():
+        async with World(serve) as world:
+            world.sidecar.balancer.choose, whole = broken, world.sidecar.balancer.choose
+            assert (await ask(world))[0] == 502
+            world.sidecar.balancer.choose = whole
+            assert (await ask(world))[0] == 200
 
-        world.sidecar.balancer.choose, whole = broken, world.sidecar.balancer.choose
-        assert (await ask(world))[0] == 502
-        world.sidecar.balancer.choose = whole
-        assert (await ask(world))[0] == 200
+    with pytest.raises(AssertionError, match="fault in take: ZeroDivisionError"):
+        scenario()
 
 
 @on_sockets
