SIGHUP reads the file anew; what follows an answer is never served; bad clients are ended in time

Cause, reload: lifecycle/sidecar.py installed handlers for SIGTERM and SIGINT only, so SIGHUP's default ended the process. Cause, spoilt answers: a second copy right behind an answer is good HTTP, so the parser ran on_body again before on_message_complete raised 'two answers' (wire/upstream.py); finish() then served both bodies joined. Told apart from a length that is wrong by feeding httptools each form by hand: doubled, negative and overflowing lengths and both framings together are refused by the parser itself, a second copy is not. Found on reading, each shown by a test: a head that never ends was gathered inside httptools without a bound (on_header comes only once a value is whole), on both sides; 3 GB answers ended after 64 KiB of body, now at the head; bytes that come behind an answer after its connection was kept could reach the next RPC on it, so a connection settles for 2 ms first; trailers counted as headers; no time limit on silent connections and half requests; an id in use, or a doubled X-Request-ID or X-Timeout-Ms, was passed on; a request whose length was too short was passed on with the rest of it seen to be nonsense.

--- a/shedgrade/lifecycle/config.py
+++ b/shedgrade/lifecycle/config.py
@@ -1,4 +1,4 @@
-"""The configuration: read once at the start, complete or not at all."""
+"""The configuration: read at the start and at each reload, complete or not at all."""
 import os
 from dataclasses import dataclass
 
@@ -19,6 +19,7 @@
     sockets: int
     known: dict | None
     settings: dict
+    path: str = ""
 
 
 def address(text: object, what: str) -> tuple[str, int]:
@@ -44,7 +45,7 @@
         return Config(str(text.get("name", "")), address(text["listen"], "listen"),
                       address(text["discovery"], "discovery"), int(text.get("seed", "0"), 16),
                       int(limits.get("memory_mb", 192)), int(limits.get("sockets", 1024)),
-                      text.get("known"), text["settings"])
+                      text.get("known"), text["settings"], path)
     except KeyError as missing:
         raise ConfigError(f"{path}: {missing} is missing") from missing
     except (AttributeError, TypeError, ValueError) as wrong:
--- a/shedgrade/lifecycle/sidecar.py
+++ b/shedgrade/lifecycle/sidecar.py
@@ -2,13 +2,14 @@
 import asyncio
 import gc
 import signal
+from dataclasses import replace
 from enum import Enum
 
 from loguru import logger
 
 from shedgrade import decide
 from shedgrade.clock import Clock
-from shedgrade.lifecycle.config import Config, ConfigError
+from shedgrade.lifecycle.config import Config, ConfigError, load
 from shedgrade.memory.budget import Budget
 from shedgrade.memory.upstreams import tenths
 from shedgrade.turn import Turn
@@ -20,6 +21,7 @@
 AT_LAST = 0.6           # s beyond the longest hard deadline after which what is left is cut: SIGKILL is near
 IDLE_MARGIN = 10_000    # tenths of a ms before the idle limit: the upstream's timer must not be first
 BETWEEN = 10.0          # s between two lines about the same crowd
+LOOK_AFTER = 0.25       # s between two looks for clients that are overdue: they are owed an end within 3 s
 LOOK = 0.05             # s between two looks at whether all is answered and closed
 
 
@@ -65,8 +67,8 @@
                              max(idle - IDLE_MARGIN, idle // 2), self.budget)
         self.turn = Turn(loop, self.clock, self.balancer, self.caller, self.reader.indices.ids, self.budget)
         self.caller.turn = self.turn
-        self.watch = DiscoveryWatch(loop, config.discovery, self.reader, self.listed, self.turn.list_failed,
-                                    self.balancer.span)
+        self.watch: DiscoveryWatch | None = None
+        self.watching: asyncio.Task | None = None
         self.clients: dict[ApplicationConnection, None] = {}    # the longest unused first
         self.listed_once, self.listener, self.last_look = False, None, 0.0
         self.crowd_told = -BETWEEN
@@ -97,6 +99,40 @@
             logger.info("list generation {}: {} entries{}", self.reader.version, len(rows), ", whole" * whole)
         self.listed_once = True
 
+    def follow(self, address: tuple[str, int]) -> None:
+        self.watch = DiscoveryWatch(self.loop, address, self.reader, self.listed, self.turn.list_failed,
+                                    self.balancer.span)
+        self.watching = self.loop.create_task(self.watch.run())
+
+    def unfollow(self) -> None:
+        self.watching.cancel()
+        self.watch.close()
+
+    def reload(self) -> None:
+        """Reads the configuration's file anew. Discovery and the limits move; the rest is for a start.
+
+        Nothing in hand is touched, and the list stays until the new address has told its own. Guards against
+        a file that would not start a sidecar: it changes nothing.
+        """
+        if self.phase is Phase.CLOSED or self.watch is None:
+            return
+        try:
+            fresh = load(self.config.path)
+            Sidecar(fresh, self.loop)   # as a start would look at it
+        except ConfigError as wrong:
+            logger.warning("reload refused, the old configuration stays: {}", " ".join(str(wrong).split()))
+            return
+        later = [name for name in ("name", "listen", "settings")
+                 if getattr(fresh, name) != getattr(self.config, name)]
+        self.config = replace(self.config, discovery=fresh.discovery, sockets=fresh.sockets,
+                              memory_mb=fresh.memory_mb)
+        self.budget.limit(fresh.sockets, fresh.memory_mb)
+        self.unfollow()
+        self.reader.version = None      # another address counts anew: its whole list comes first
+        self.follow(fresh.discovery)
+        logger.info("configuration read anew, discovery at {}:{}{}", *fresh.discovery,
+                    f"; only a start changes {', '.join(later)}" if later else "")
+
     # --- connections of the application, and what there is room for
 
     def opened(self, connection: ApplicationConnection) -> None:
@@ -137,6 +173,7 @@
         self.loop.set_exception_handler(self.fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.drain)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.known:
             try:
                 self.listed(self.config.known, asked=False)
@@ -147,14 +184,14 @@
         except OSError as failure:
             raise ConfigError(f"cannot listen on {':'.join(map(str, self.config.listen))}: "
                               f"{failure.strerror}") from failure
-        watching = self.loop.create_task(self.watch.run())
+        self.follow(self.config.discovery)
         self.listener.resume()
+        self.look_after_clients()
         gc.collect()
         gc.freeze()     # what is here now stays: collections need not look at it again
         self.enter(Phase.SERVING)
         await self.done.wait()
-        watching.cancel()
-        self.watch.close()
+        self.unfollow()
         self.enter(Phase.CLOSED)
 
     @staticmethod
@@ -167,6 +204,15 @@
             self.last_look = self.loop.time() + self.longest + AT_LAST
             self.loop.call_later(KEEP_ACCEPTING, self.stop_accepting)
 
+    def look_after_clients(self) -> None:
+        """Guards against clients that take up room: nothing said, half a request, an answer not taken."""
+        if self.phase is Phase.CLOSED:
+            return
+        now = self.loop.time()
+        for connection in list(self.clients):
+            connection.overdue(now)
+        self.loop.call_later(LOOK_AFTER, self.look_after_clients)
+
     def stop_accepting(self) -> None:
         if self.listener.waiting():
             self.loop.call_later(LOOK, self.stop_accepting)
--- a/shedgrade/memory/budget.py
+++ b/shedgrade/memory/budget.py
@@ -8,10 +8,13 @@
     """Counts what is held; whoever asks for more gives up something idle first."""
 
     def __init__(self, sockets: int, memory_mb: int) -> None:
+        self.limit(sockets, memory_mb)
+        self.clients = self.upstreams = self.bytes = 0
+
+    def limit(self, sockets: int, memory_mb: int) -> None:
         self.most = max(16, sockets - RESERVE)
         self.most_clients = self.most * 3 // 4      # the rest is left to upstreams, whoever connects here
         self.most_bytes = memory_mb * 1024 * 1024 // SHARE
-        self.clients = self.upstreams = self.bytes = 0
 
     def full(self) -> bool:
         return self.clients + self.upstreams >= self.most
--- a/shedgrade/memory/idle.py
+++ b/shedgrade/memory/idle.py
@@ -5,8 +5,9 @@
 class IdleConnections:
     """Idle connections by upstream, the latest used first; the longest idle of all goes first."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, settled: int = 0) -> None:
         self.limit = limit      # tenths of a millisecond that one may stand idle and still be used
+        self.settled = settled  # and that it must: what belongs to nobody has come by then
         self.order: OrderedDict = OrderedDict()     # connection to (upstream, since), the longest idle first
         self.by_upstream: dict[int, list] = {}
 
@@ -18,19 +19,24 @@
         self.by_upstream.setdefault(upstream, []).append(link)
 
     def take(self, upstream: int, now: int) -> object | None:
-        """The latest used one, if it is not near the idle limit at which the upstream closes it."""
-        links = self.by_upstream.get(upstream)
-        if not links or now - self.order[links[-1]][1] >= self.limit:
-            return None
-        link = links[-1]
-        self.drop(link)
-        return link
+        """The latest used one that is settled, if not near the idle limit at which the upstream closes it."""
+        for link in reversed(self.by_upstream.get(upstream, ())):
+            stood = now - self.order[link][1]
+            if stood >= self.limit:
+                break
+            if stood >= self.settled:
+                self.drop(link)
+                return link
+        return None
 
     def drop(self, link: object) -> bool:
         entry = self.order.pop(link, None)
         if entry is None:
             return False
-        self.by_upstream[entry[0]].remove(link)
+        links = self.by_upstream[entry[0]]
+        links.remove(link)
+        if not links:
+            del self.by_upstream[entry[0]]
         return True
 
     def stale(self, now: int) -> list:
--- a/shedgrade/memory/in_hand.py
+++ b/shedgrade/memory/in_hand.py
@@ -3,10 +3,11 @@
 
 class Request:
     """What the application asked, as far as it goes on to an upstream."""
-    __slots__ = ("verb", "target", "headers", "body")
+    __slots__ = ("name", "verb", "target", "headers", "body")
 
-    def __init__(self, verb: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        self.verb, self.target, self.headers, self.body = verb, target, headers, body
+    def __init__(self, name: bytes, verb: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
+                 body: bytes) -> None:
+        self.name, self.verb, self.target, self.headers, self.body = name, verb, target, headers, body
 
     def __len__(self) -> int:
         return len(self.target) + len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
@@ -53,15 +54,18 @@
 
     def __init__(self, budget) -> None:
         self.budget, self.carried = budget, set()
+        self.names: set[bytes] = set()      # the ids under which clients wait
 
     def __len__(self) -> int:
         return len(self.carried)
 
     def add(self, carried: Carried) -> None:
         self.carried.add(carried)
+        self.names.add(carried.request.name)
         self.budget.bytes += len(carried.request)
 
     def remove(self, carried: Carried) -> None:
         if carried in self.carried:
             self.carried.remove(carried)
+            self.names.discard(carried.request.name)
             self.budget.bytes -= len(carried.request)
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -11,11 +11,14 @@
 from shedgrade.memory.in_hand import Answer, Carried, Request
 from shedgrade.wire.connection import LONGEST_BODY, LONGEST_HEAD, Connection, MessageError, passed_on
 
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 413: b"Content Too Large",
-           502: b"Bad Gateway", 503: b"Service Unavailable"}
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
+           413: b"Content Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 BACKLOG = 1024          # connections that the kernel holds while the loop is busy
 AT_ONCE = 32            # connections accepted in one pass of the loop: what is open gets its turn too
 PAUSE = 0.005           # s until there may be room again: what was closed is gone by then
+COMES = 2.0             # s within which a connection's first request, or any that has begun, must be whole
+TAKES = 5.0             # s within which an answer must be taken: any request has ended by then
+ONCE = (b"x-request-id", b"x-timeout-ms")       # headers of which a second one makes a request ambiguous
 LONGEST_TIMEOUT = 3_600_000     # ms that a client may say it waits: an hour, to keep out nonsense
 
 
@@ -31,10 +34,13 @@
         self.last = False                   # no request after the one in hand
         self.reading = False                # a loop of `read` is under way
         self.begun = False                  # a request has begun to come and is not whole
+        self.proven = False                 # a whole request has come
+        self.since = sidecar.loop.time()    # of what `overdue` measures: opened, begun, answered
         self.clear()
 
     def clear(self) -> None:
         self.target, self.headers, self.body, self.length = b"", [], [], 0
+        self.headed, self.head_left = False, LONGEST_HEAD
 
     # --- the connection
 
@@ -49,6 +55,22 @@
             self.sidecar.turn.left(self.carried)
             self.carried = None
         self.sidecar.closed(self)
+        self.parser = None      # holds on to this connection, which would wait for the collector
+
+    def overdue(self, now: float) -> None:
+        """Ends what has taken too long to come or to be taken, with an answer where one can still be read."""
+        if self.transport.is_closing() or self.carried is not None:
+            return
+        late = now - self.since
+        if self.flushing:
+            if late > TAKES:
+                self.transport.abort()
+        elif late > COMES and (self.begun or not self.proven) and not self.unread():
+            self.last = True
+            if self.begun:
+                self.answer(408)
+            else:
+                self.transport.close()
 
     def idle(self) -> bool:
         """Between two requests, and nothing unread in the kernel either: closing now loses no request."""
@@ -87,13 +109,22 @@
 
     def parse(self, part: memoryview) -> None:
         try:
+            self.head_left -= 0 if self.headed else len(part)
             self.parser.feed_data(part)
+            # Guards against a head without end: the parser would gather it until memory is gone.
+            if self.begun and not self.headed and self.head_left < 0:
+                self.requests.append(MessageError(413))
         except httptools.HttpParserUpgrade:
             # Nothing else is spoken here: answered as a plain request, after which the connection ends.
             self.requests[-1] = (*self.requests[-1][:-1], True)
         except httptools.HttpParserError as failure:
             why = failure.__context__
             self.requests.append(why if isinstance(why, MessageError) else MessageError(400))
+            if len(self.requests) > 1:
+                # Guards against a length that is too short: what came in one piece with bytes that are no
+                # request is none either, and is not passed on.
+                self.requests = deque([*([MessageError(400, False)] * (len(self.requests) - 1)),
+                                       self.requests[-1]])
         self.used(len(part))
 
     def flushed(self) -> None:
@@ -106,7 +137,7 @@
         """Takes up the next whole request."""
         request = self.requests.popleft()
         if isinstance(request, MessageError):
-            self.last = True
+            self.last = len(request.args) < 2
             self.answer(request.args[0])
             return
         verb, target, headers, body, self.last = request
@@ -121,6 +152,7 @@
 
     def on_message_begin(self) -> None:
         self.begun = True
+        self.since = self.sidecar.loop.time() if self.proven else self.since
         self.clear()
 
     def on_url(self, url: bytes) -> None:
@@ -128,11 +160,13 @@
         self.grown(len(url), LONGEST_HEAD, 413)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.headed:     # what trails a body is not the head's
+            return
         self.headers.append((name, value))
         self.grown(len(name) + len(value), LONGEST_HEAD, 413)
 
     def on_headers_complete(self) -> None:
-        self.length = 0
+        self.length, self.headed = 0, True
         for name, value in self.headers:
             if name.lower() == b"content-length" and int(value) > LONGEST_BODY:
                 raise MessageError(413)
@@ -142,7 +176,7 @@
         self.grown(len(body), LONGEST_BODY, 413)
 
     def on_message_complete(self) -> None:
-        self.begun = False
+        self.begun, self.proven = False, True
         self.requests.append((self.parser.get_method(), self.target, self.headers, b"".join(self.body),
                               not self.parser.should_keep_alive()))
         self.clear()
@@ -154,17 +188,27 @@
         if path == b"/up":
             self.answer(200 if self.sidecar.ready() else 503)
             return
-        known = {name.lower(): value for name, value in headers}
+        known: dict[bytes, bytes] = {}
+        for name, value in headers:
+            name = name.lower()
+            if name in ONCE and name in known:
+                self.refuse(400)
+                return
+            known[name] = value
         method = self.sidecar.methods.get(path.split(b"/", 2)[1] if path.startswith(b"/") else b"")
         wait = known.get(b"x-timeout-ms", b"")
-        if not known.get(b"x-request-id") or not wait.isdigit() or not 0 < int(wait) <= LONGEST_TIMEOUT:
-            self.answer(400)
+        name = known.get(b"x-request-id")
+        if not name or not wait.isdigit() or len(wait) > 9 or not 0 < int(wait) <= LONGEST_TIMEOUT:
+            self.refuse(400)
             return
         if method is None:
-            self.answer(404)
+            self.refuse(404)
+            return
+        if name in self.sidecar.turn.in_hand.names:
+            self.refuse(409)    # somebody waits under this id: two answers could not be told apart
             return
         kept = [(name, value) for name, value in passed_on(headers) if name.lower() != b"x-timeout-ms"]
-        request = Request(verb, target, kept, body)
+        request = Request(name, verb, target, kept, body)
         if not self.sidecar.room_for(len(request)):
             self.exhausted(0)
             return
@@ -181,8 +225,14 @@
     def errored(self) -> None:
         self.answer(502)
 
+    def refuse(self, status: int) -> None:
+        """What cannot be used ends its connection too: the next one costs its client a new one."""
+        self.last = True
+        self.answer(status)
+
     def answer(self, status: int, headers: list = (), body: bytes = b"") -> None:
         self.carried = None
+        self.since = self.sidecar.loop.time()
         self.sidecar.used(self)
         if self.transport.is_closing():
             return
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -40,7 +40,7 @@
             if type(version) is not int or type(whole) is not bool:
                 raise ListError("generation or reset has the wrong type")
             # A change says what changed; one that an upstream is gone may say no more than that.
-            told = [{**self.told.get(instance["instanceId"], {}), **instance}
+            told = [instance if whole else {**self.told.get(instance["instanceId"], {}), **instance}
                     for instance in message["instances"]]
             entries = [self.entry(instance) for instance in told]
         except (KeyError, OverflowError, TypeError, ValueError, AttributeError) as wrong:
--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -10,6 +10,7 @@
 from shedgrade.memory.in_hand import Answer, Transmission
 from shedgrade.wire.connection import LONGEST_BODY, LONGEST_HEAD, Connection, MessageError, passed_on
 
+SETTLED = 20    # tenths of a ms: what an upstream sends right behind an answer is here by then
 # Failures to connect that are this side's own: they prove as well that nothing ran, and blame no upstream.
 OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
@@ -28,6 +29,7 @@
 
     def clear(self) -> None:
         self.headers, self.body, self.length, self.status = [], [], 0, 0
+        self.head_left = LONGEST_HEAD   # bytes that may still come before the head of the answer ends
         self.complete = self.lasting = False
 
     def begin(self, transmission: Transmission, now: int) -> None:
@@ -57,6 +59,7 @@
         self.caller.closed(self)
         # Only bytes that never left prove that it never ran; once the last may have left, a reset doesn't.
         self.end(decide.DROPPED if self.whole else decide.UNCONNECTED)
+        self.parser = None      # holds on to this connection, which would wait for the collector
 
     def end(self, outcome: int, answer: Answer | None = None) -> None:
         transmission, self.transmission = self.transmission, None
@@ -75,9 +78,14 @@
             try:
                 if self.transmission is None or self.complete:
                     raise MessageError("bytes that nobody asked for")
+                self.head_left -= len(part) if not self.status else 0
                 self.parser.feed_data(part)
+                # Guards against a head without end: the parser would gather it until memory is gone.
+                if self.head_left < 0 and not self.status:
+                    raise MessageError("head too long")
             except (httptools.HttpParserError, MessageError):
-                # A broken answer is an error after which the RPC may have run.
+                # A broken answer is an error after which the RPC may have run. What comes behind a whole
+                # one leaves the answer as it is, but the connection is of no further use.
                 if not self.complete:
                     self.end(decide.FAILED)
                 self.cut()
@@ -86,15 +94,28 @@
         if self.complete:
             self.finish()
 
+    def on_message_begin(self) -> None:
+        # Guards against a second copy behind an answer: its body would be added to the first one's.
+        if self.complete:
+            raise MessageError("two answers")
+
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.status:     # what trails a body is not the head's
+            return
         self.headers.append((name, value))
         self.length += len(name) + len(value)
         if self.length > LONGEST_HEAD:
             raise MessageError("head too long")
 
     def on_headers_complete(self) -> None:
-        self.length = 0
-        self.status = self.parser.get_status_code()
+        status = self.parser.get_status_code()
+        if status < 200:        # announces the answer, which follows
+            self.headers = []
+            return
+        self.status, self.length = status, 0
+        for name, value in self.headers:
+            if name.lower() == b"content-length" and int(value) > LONGEST_BODY:
+                raise MessageError("body too long")
 
     def on_body(self, body: bytes) -> None:
         self.body.append(body)
@@ -103,11 +124,7 @@
             raise MessageError("body too long")
 
     def on_message_complete(self) -> None:
-        if self.status < 200:
-            self.headers = []
-        elif self.complete:
-            raise MessageError("two answers")
-        else:
+        if self.status:
             self.complete, self.lasting = True, self.parser.should_keep_alive()
 
     def finish(self) -> None:
@@ -134,7 +151,7 @@
                  budget) -> None:
         self.loop, self.clock, self.addresses, self.budget = loop, clock, addresses, budget
         self.dial_time = dial_time
-        self.idle = IdleConnections(idle_limit)
+        self.idle = IdleConnections(idle_limit, SETTLED)
         self.open: set[UpstreamConnection] = set()
         self.heard: dict[int, int] = {}     # by upstream: when it last answered anything
         self.dials: dict[Transmission, asyncio.Task] = {}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -210,6 +210,18 @@
     assert not faults, faults
 
 
+@contextmanager
+def outcomes():
+    """Every outcome that the decisions are told, in order."""
+    ends, ended = [], decide.Rpc.ended
+    decide.Rpc.ended = lambda rpc, now, tx, outcome, *more: (ends.append(outcome),
+                                                             ended(rpc, now, tx, outcome, *more))[1]
+    try:
+        yield ends
+    finally:
+        decide.Rpc.ended = ended
+
+
 def on_sockets(scenario):
     """Makes a test of a coroutine, on the loop that the sidecar runs on."""
     async def limited():
--- a/tests/test_in_memory.py
+++ b/tests/test_in_memory.py
@@ -90,7 +90,7 @@
 
     def take(self, number, wait):
         client = Client(self)
-        carried = Carried(client, Request(b"POST", b"/m", [], b"x"))
+        carried = Carried(client, Request(b"%d" % len(self.carried), b"POST", b"/m", [], b"x"))
         self.carried.append((carried, self.loop.time + wait * 10))
         self.turn.arrived(carried, number, wait, False)
 
@@ -194,6 +194,15 @@
         self.reading = True
 
 
+def sidecar(taken):
+    """As much of one as a connection of the application calls; `taken` gets what it takes."""
+    turn = SimpleNamespace(arrived=lambda carried, *_: taken.append(carried), left=lambda carried: None,
+                           in_hand=SimpleNamespace(names=()))
+    return SimpleNamespace(methods={b"m": 0}, turn=turn, opened=lambda _: None, used=lambda _: None,
+                           room_for=lambda _: True, leaving=lambda: False, ready=lambda: True,
+                           closed=lambda _: None, loop=SimpleNamespace(time=lambda: 0.0))
+
+
 BODY = st.one_of(st.binary(max_size=30), st.integers(20, 240).map(lambda times: bytes(range(250)) * times))
 
 
@@ -203,10 +212,7 @@
        st.lists(st.booleans(), min_size=1, max_size=5), st.lists(st.integers(0, 5), min_size=1, max_size=9))
 def test_requests_cut_anyhow_are_answered_once_each_and_in_order(bodies, cuts, slow, order):
     taken = []
-    turn = SimpleNamespace(arrived=lambda carried, *_: taken.append(carried))
-    sidecar = SimpleNamespace(methods={b"m": 0}, turn=turn, opened=lambda _: None, used=lambda _: None,
-                              room_for=lambda _: True, leaving=lambda: False)
-    connection = ApplicationConnection(sidecar)
+    connection = ApplicationConnection(sidecar(taken))
     transport = Transport(connection)
     connection.connection_made(transport)
     stream, step, answered = b"".join(request(body) for body in bodies), 0, 0
@@ -241,11 +247,7 @@
        max_size=8))
 def test_nothing_that_comes_in_gets_past_the_connection_as_an_exception(pieces):
     taken = []
-    turn = SimpleNamespace(arrived=lambda carried, *_: taken.append(carried), left=lambda carried: None)
-    sidecar = SimpleNamespace(methods={b"m": 0}, turn=turn, opened=lambda _: None, used=lambda _: None,
-                              room_for=lambda _: True, leaving=lambda: False, ready=lambda: True,
-                              closed=lambda _: None)
-    connection = ApplicationConnection(sidecar)
+    connection = ApplicationConnection(sidecar(taken))
     transport = Transport(connection)
     connection.connection_made(transport)
     for piece in pieces:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,16 +6,32 @@
 import socket
 import subprocess
 import sys
+from dataclasses import replace
 
 import orjson
 import pytest
-from helpers import CUT, SILENT, World, ask, message, on_sockets, read_message, request, until
+from helpers import (
+    CUT,
+    SILENT,
+    Server,
+    World,
+    ask,
+    message,
+    on_sockets,
+    outcomes,
+    read_message,
+    request,
+    until,
+)
 from loguru import logger
+from orjson import dumps
 from typer.testing import CliRunner
 
 from shedgrade import decide
 from shedgrade.cli import app
 from shedgrade.lifecycle.sidecar import Phase, PhaseError
+from shedgrade.memory.budget import RESERVE
+from shedgrade.memory.idle import IdleConnections
 from shedgrade.wire.upstream import UpstreamConnection
 
 
@@ -43,6 +59,7 @@
 async def test_answers_are_written_once_and_connections_are_kept():
     # uvloop sends at once and then never calls resume_writing: the ring was not freed, answers came twice.
     async with World(serve) as world:
+        world.sidecar.caller.idle.settled = 0
         connection = await world.connect()
         for number in range(5):
             assert (await ask(world, request(b"%d" % number), connection))[2] == b"%d" % number
@@ -82,7 +99,11 @@
         bad = {b"nonsense\r\n\r\n": 400, good.replace(b"X-Request-ID: a1\r\n", b""): 400,
                good.replace(b"X-Timeout-Ms: 15000\r\n", b""): 400, good.replace(b"15000", b"-9"): 400,
                good.replace(b"15000", b"0"): 400, good.replace(b"/m/", b"/none/"): 404,
-               good.replace(b"Content-Length: 0", b"Content-Length: x"): 400,
+               good.replace(b"Content-Length: 0", b"Content-Length: x"): 400, good + b"what is behind": 400,
+               good.replace(b"Host", b"X-Request-ID: a2\r\nHost"): 400,
+               good.replace(b"Host", b"X-Timeout-Ms: 9\r\nHost"): 400,
+               good.replace(b"Host", b"Transfer-Encoding: chunked\r\nHost"): 400,
+               good.split(b"Host")[0] + b"H: " + b"h" * 70000: 413,
                good.replace(b"Content-Length: 0", b"Content-Length: 65537"): 413,
                good.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"10001\r\n"
                + b"x" * 65537: 413,
@@ -109,6 +130,89 @@
             assert world.sent() == sent and status == (503 if first is away else 502)
 
 
+@on_sockets
+async def test_what_comes_behind_an_answer_or_ahead_of_it_changes_nothing():
+    # A second copy's body was added to the first one's, and the sum was served.
+    good, early = message(200, b"abc"), b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 100 C\r\n\r\n"
+    for answer, kept in ((good * 2, 0), (good + good[:40], 0), (good + b"noise", 0), (early + good, 1)):
+        async with World(lambda *_, answer=answer: answer) as world:
+            assert (await ask(world))[::2] == (200, b"abc")
+            assert len(world.sidecar.caller.idle) == kept
+            assert (await ask(world))[::2] == (200, b"abc")
+
+
+def test_a_connection_is_used_again_only_once_what_belongs_to_nobody_has_come():
+    idle = IdleConnections(1000, 20)
+    idle.put(0, "old", 0)
+    idle.put(0, "new", 100)
+    assert idle.take(0, 119) == "old" and idle.take(0, 119) is None and idle.take(0, 120) == "new"
+    assert not idle.by_upstream
+
+
+@on_sockets
+async def test_a_spoilt_answer_ends_at_once_however_much_is_still_to_come():
+    for answer in (message().replace(b"Length: 0", b"Length: 3000000000"), b"HTTP/1.1 200 " + b"x" * 140000,
+                   message().replace(b"Content-Length: 0\r\n\r\n", b"X: " + b"x" * 140000),
+                   b"HTTP/1.1 100 C\r\n\r\n" * 9000):
+        async with World(lambda *_, answer=answer: answer) as world:
+            with outcomes() as ends:
+                assert (await ask(world))[0] == 502
+            assert ends == [decide.FAILED] and not world.sidecar.caller.idle
+
+
+@on_sockets
+async def test_an_id_under_which_somebody_waits_is_taken_once():
+    async with World(lambda head, body: SILENT if body == b"stay" else serve(head, body)) as world:
+        waiting = await world.connect()
+        waiting[1].write(request(b"stay"))
+        await until(lambda: world.sent() == 1)
+        assert (await ask(world))[0] == 409 and world.sent() == 1
+        waiting[1].close()
+        await until(lambda: not world.sidecar.turn.in_hand.names)
+        assert (await ask(world))[0] == 200
+
+
+@on_sockets
+async def test_clients_that_say_nothing_or_never_end_are_given_up_in_time_and_others_are_not():
+    async with World(serve) as world:
+        silent, half, used = await world.connect(), await world.connect(), await world.connect()
+        assert (await ask(world, connection=used))[0] == 200
+        half[1].write(request(b"x" * 9)[:-2])
+        await until(lambda: sum(one.begun for one in world.sidecar.clients) == 1)
+        for one in world.sidecar.clients:
+            one.since -= 10
+        assert (await silent[0].read(), (await half[0].read())[:12]) == (b"", b"HTTP/1.1 408")
+        assert (await ask(world, connection=used))[0] == 200
+
+
+def test_a_reload_moves_discovery_and_takes_its_list_whole_and_a_bad_file_changes_nothing(tmp_path):
+    @on_sockets
+    async def scenario():
+        async with World(serve, serve) as world:
+            lines = []
+            sink = logger.add(lines.append, format="{message}")
+            host, port = world.config.listen
+            world.sidecar.config = replace(world.config, path=config_file(tmp_path, settings={}))
+            world.sidecar.reload()
+            assert any("reload refused" in line for line in lines) and world.watches == 1
+            other = await Server(lambda head, _: message(200, dumps(world.list(world.entry(1), reset=True)))
+                                 if "after=" not in head[0] else SILENT).start()
+            config_file(tmp_path, listen=f"{host}:{port}", discovery=other.address,
+                        limits={"sockets": 300, "memory_mb": 64}, settings=world.conf)
+            old = world.sidecar.watch.link
+            for _ in range(2):
+                seen = len(other.seen)
+                os.kill(os.getpid(), signal.SIGHUP)
+                await until(lambda seen=seen: len(other.seen) == seen + 2)  # the whole list, and the watch
+            assert old.transport.is_closing()
+            assert world.sidecar.budget.most == 300 - RESERVE
+            assert [(await ask(world))[0] for _ in range(4)] == [200] * 4 and not world.upstreams[0].seen
+            other.stop()
+            logger.remove(sink)
+
+    scenario()
+
+
 @on_sockets
 async def test_a_refused_connection_goes_elsewhere():
     async with World(serve, serve) as world:
@@ -262,7 +366,7 @@
         await until(lambda: world.sent() == 1)
         world.sidecar.drain()
         assert world.sidecar.phase is Phase.DRAINING
-        fresh = asyncio.create_task(ask(world, request(b"fresh")))      # new connections still come
+        fresh = asyncio.create_task(ask(world, request(b"fresh", name="a2")))   # new connections still come
         await until(lambda: world.sent() == 2)
         assert await idle[0].read() == b""      # the idle one is closed, the others are not
         release.set()
@@ -338,17 +442,12 @@
 @on_sockets
 async def test_an_outcome_is_told_once():
     async with World(serve) as world:
-        ends, ended = [], decide.Rpc.ended
-        decide.Rpc.ended = lambda rpc, now, tx, outcome, *more: (ends.append(outcome),
-                                                                 ended(rpc, now, tx, outcome, *more))[1]
-        try:
+        with outcomes() as ends:
             assert (await ask(world))[0] == 200
             link = next(iter(world.sidecar.caller.open))
             link.connection_lost(None)
             link.connection_lost(None)
             assert (await ask(world))[0] == 200
-        finally:
-            decide.Rpc.ended = ended
         assert ends == [decide.COMPLETED] * 2
 
 
