What is gone leaves memory with its index; a crowd of connections is let in as fast as others go

Cause: Sidecar.make_room closed one connection and still said 'no room' (lifecycle/sidecar.py, 'return False'), after which Listener.accept paused 5 ms (wire/application.py): at most 200 connections a second, while some 450 came to each sidecar. The kernel's queue filled with the crowd, and the usual clients behind it. Now what is closed makes room in the same pass; accepting pauses only where all connections are in use.

The module now gives up what is REMOVED with nothing out and nothing asked (Balancer.release) and says so (released); the turn passes it on once nothing gathered names the index. A connection whose upstream moved while it was out was kept for the new address; it is now closed.

--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -202,6 +202,8 @@
             self.say(out, "poll", upstream=self.upstreams.ids[upstream])
         if balancer.wants_list(now):
             self.say(out, "follow", active=True)
+        for index in balancer.released():
+            self.upstreams.release(index)
         told = balancer.tells(now)
         if told is not None:
             self.say(out, "write_peer", target=None, contents=b64encode(told).decode())
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -14,9 +14,11 @@
                                           takes how one ended, returns the handle to ask again or None
   b.tells(now)                            bytes for all other sidecars, or None; b.heard(now, sidecar, bytes)
   b.wants_list(now)                       True: subscribe to the list of upstreams now
+  b.released()                            upstreams that are forgotten: their indices are free
 """
 from bisect import bisect_left, insort
 from heapq import heappop, heappush
+from itertools import count
 from math import exp, inf
 from random import Random
 from struct import iter_unpack, pack
@@ -253,6 +255,7 @@
             late = outcome == TIMED_OUT or took > LATE * self.method.soft
             home.late += (late - home.late) / max(10.0, min(ENOUGH, home.sums[0]))
         home.learn(now, up, outcome, took, crowd)
+        home.release(up)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
         return self.finish() if settled and not self.done else []
@@ -270,7 +273,7 @@
 
     def __init__(self, settings: dict, seed: int, now: int) -> None:
         random = Random(seed)
-        self.chance, self.span = random.random, random.uniform
+        self.chance, self.span, self.pick = random.random, random.uniform, random.choices
         limits, rules = settings["limits"], settings["rules"]
         self.most, self.parallel, self.cancelling = (
             limits["most_transmissions"], limits["parallel_tries"], limits["cancelling"])
@@ -284,7 +287,8 @@
         self.methods = [Method(m, top, self.most) for m in settings["methods"]]
         self.asks, self.ask_every = settings["membership_mode"] == "on_request", int(rules["ask_every"] * 10)
         self.following, self.pending, self.ask_at, self.ask_wait = False, False, now, SECOND
-        self.ups: list[Upstream] = []
+        self.ups: dict[int, Upstream] = {}
+        self.left: list[int] = []               # given up, and not yet asked for by `released`
         self.ready = self.aside = 0             # upstreams ready, and of these set aside
         self.sizes = 0.0                        # the sum of what the list says of their sizes
         self.kinds: dict[int, list] = {}        # by kind of upstream: took, foreseen, since when
@@ -294,7 +298,7 @@
         self.peer_price = settings["prices"].get("peer", 0.0) if limits["may_tell"] else None
         self.credit, self.cross_price = 0.0, settings["prices"].get("cross_zone", 0.0)
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
-        self.alarms, self.held, self.counter = [], [], 0
+        self.alarms, self.held, self.count = [], [], count().__next__
         self.flight, self.spare = 0, 5.0
         self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] else None
         self.late, self.questions = 0.05, []    # the share of late ends, at first believed; whom to ask now
@@ -307,10 +311,6 @@
         self.sums, self.stamp = [1.0, 2.0, soft, 4.0, 2 * soft], now
         self.fit()
 
-    def count(self) -> int:
-        self.counter += 1
-        return self.counter
-
     # --- the list of upstreams
 
     def list_changed(self, now: int, rows: list, whole: bool, asked: bool) -> None:
@@ -318,13 +318,11 @@
             self.pending, self.following, self.ask_wait = False, True, SECOND
         if whole:
             named = {row[0] for row in rows}
-            for up in self.ups:
-                if up.index not in named:
-                    self.relist(up, up.zone, REMOVED)
+            for up in [up for index, up in self.ups.items() if index not in named]:
+                self.relist(up, up.zone, REMOVED)
+                self.release(up)
         for index, zone, state, started, cell, mark, size, kind in rows:
-            while len(self.ups) <= index:
-                self.ups.append(Upstream(len(self.ups), self.chance()))
-            up = self.ups[index]
+            up = self.ups.get(index) or self.ups.setdefault(index, Upstream(index, self.chance()))
             if started != up.started:
                 self.relist(up, up.zone, REMOVED)
                 up.forget()
@@ -332,6 +330,7 @@
             up.cell, up.started, up.mark, up.kind = cell, started, mark, kind
             self.marks[mark] = up
             self.relist(up, zone, state, size)
+            self.release(up)
         for zone in self.zones:
             if zone.window == inf and zone.ring:
                 zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
@@ -339,10 +338,8 @@
     def relist(self, up: Upstream, zone: int | None, state: int, size: float | None = None) -> None:
         """A change in the list costs what changed: rotations lose and gain just the upstreams it names."""
         if up.listed:
-            self.ready -= 1
-            self.sizes -= up.size
-            if up.aside_until:
-                self.aside -= 1
+            self.ready, self.sizes = self.ready - 1, self.sizes - up.size
+            self.aside -= bool(up.aside_until)
         if up.zone != zone:
             self.rotation(up, False)
             if up.zone is not None:
@@ -352,10 +349,8 @@
         up.size, up.state = size or up.size, state
         up.listed = state == READY
         if up.listed:
-            self.ready += 1
-            self.sizes += up.size
-            if up.aside_until:
-                self.aside += 1
+            self.ready, self.sizes = self.ready + 1, self.sizes + up.size
+            self.aside += bool(up.aside_until)
         self.rotation(up, up.listed and not up.aside_until)
 
     def rotation(self, up: Upstream, wanted: bool) -> None:
@@ -363,6 +358,19 @@
         if zone is not None and (up in zone.ring) != wanted:
             (zone.ring.append if wanted else zone.ring.remove)(up)
 
+    def release(self, up: Upstream) -> None:
+        """What is gone with nothing out leaves memory: its index may be another's, which inherits nothing."""
+        index = up.index
+        if up.state == REMOVED and not (up.flight or self.waiting.get(index)) and self.ups.get(index) is up:
+            for kept, key in ((self.ups, index), (self.marks, up.mark), (self.waiting, index)):
+                kept.pop(key, None)
+            self.left.append(index)
+
+    def released(self) -> list[int]:
+        """Upstreams given up since the last call, unless they have come again."""
+        left, self.left = [index for index in self.left if index not in self.ups], []
+        return left
+
     def list_failed(self, now: int) -> None:
         """The subscription broke or a call failed: ask again soon, then less often, within what is set."""
         self.pending = self.following = False
@@ -407,7 +415,7 @@
             open_zones.remove(own)
         # A zone without room is left out and the draw repeated.
         while open_zones:
-            zone = self.draw(open_zones)
+            zone = self.pick(open_zones, [len(zone.ring) for zone in open_zones])[0]
             up = self.rotate(zone, now, rpc, left)
             if up is not None:
                 return up
@@ -417,14 +425,6 @@
         held_back = any(zone.ring and zone.full(rpc) for zone in self.zones)
         return None if self.flight or rpc.out or held_back else self.last_resort(now, rpc)
 
-    def draw(self, zones: list) -> Zone:
-        at = self.chance() * sum(len(zone.ring) for zone in zones)
-        for zone in zones:
-            at -= len(zone.ring)
-            if at < 0:
-                return zone
-        return zones[-1]
-
     def rotate(self, zone: Zone, now: int, rpc: Rpc, left: int) -> Upstream | None:
         """The next in rotation that is not well above the mean, then any that has room."""
         if not zone.ring or zone.full(rpc):
@@ -516,9 +516,9 @@
 
     def last_resort(self, now: int, rpc: Rpc) -> Upstream | None:
         """Nothing eligible, nothing out to wait for: the ready upstream that returns first, one at a time."""
-        best, start = None, int(self.chance() * len(self.ups))
+        best, ups, start = None, list(self.ups.values()), int(self.chance() * len(self.ups))
         # From a random place, or all balancers would fall on the same one.
-        for up in self.ups[start:] + self.ups[:start]:
+        for up in ups[start:] + ups[:start]:
             if up.listed and not up.flight and up not in rpc.tries and rpc.allowed(up, now) and (
                     best is None or up.aside_until < best.aside_until) and (
                     not self.is_cold(up, now) or self.cold_room(up, now)):
@@ -559,6 +559,7 @@
     def probed(self, now: int, upstream: int, outcome: int, load: float | None = None) -> Rpc | None:
         """An upstream has answered or failed to; returns the handle to ask again, if any waits for it."""
         up, rpc = self.ups[upstream], self.waiting[upstream].pop(0)
+        self.release(up)
         if outcome == UNCONNECTED:
             self.set_aside(now, up, True)
         if outcome != COMPLETED:
@@ -590,7 +591,7 @@
         each = (self.sidecars - 1) * self.peer_price / 256
         if 6 * each > FRESH * TELLING or self.credit < 6 * each:
             return None
-        busy = [up for up in self.ups if up.flight and up.state != REMOVED][:50]
+        busy = [up for up in self.ups.values() if up.flight and up.state != REMOVED][:50]
         if self.credit < (len(busy) * 5 + 1) * each:
             return None
         self.credit = 0.0
--- a/shedgrade/lifecycle/sidecar.py
+++ b/shedgrade/lifecycle/sidecar.py
@@ -65,7 +65,8 @@
             raise ConfigError(f"settings: a value has the wrong form ({wrong})") from wrong
         self.caller = Caller(loop, self.clock, self.reader.addresses.known, dial,
                              max(idle - IDLE_MARGIN, idle // 2), self.budget)
-        self.turn = Turn(loop, self.clock, self.balancer, self.caller, self.reader.indices.ids, self.budget)
+        self.turn = Turn(loop, self.clock, self.balancer, self.caller, self.reader.indices.ids, self.budget,
+                         self.forget)
         self.caller.turn = self.turn
         self.watch: DiscoveryWatch | None = None
         self.watching: asyncio.Task | None = None
@@ -133,6 +134,12 @@
         logger.info("configuration read anew, discovery at {}:{}{}", *fresh.discovery,
                     f"; only a start changes {', '.join(later)}" if later else "")
 
+    def forget(self, upstream: int) -> None:
+        """Gone, with nothing out: what is known of it would otherwise stay for good."""
+        self.reader.forget(upstream)
+        self.caller.forget(upstream)
+        self.caller.heard.pop(upstream, None)
+
     # --- connections of the application, and what there is room for
 
     def opened(self, connection: ApplicationConnection) -> None:
@@ -149,7 +156,11 @@
             self.budget.clients = len(self.clients)
 
     def make_room(self) -> bool:
-        """Room for one more connection of the application: the longest unused idle one goes."""
+        """Room for one more connection of the application: the longest unused idle one goes.
+
+        Guards against a crowd: what is waiting is let in at once for what is closed here. The descriptors of
+        what one pass of the loop closes are free in the next; the reserve holds as many as one pass accepts.
+        """
         self.budget.clients = len(self.clients) + len(self.listener.tasks)
         if not self.budget.full_of_clients():
             return True
@@ -158,11 +169,12 @@
         unused = next((one for one in self.clients if one.idle()), None) or next(
             (one for one in self.clients if not one.unanswered() and not one.unread()), None)
         if unused is not None:
-            unused.transport.abort()
+            self.clients.pop(unused, None)
+            unused.cut()
         if self.loop.time() >= self.crowd_told + BETWEEN:
             self.crowd_told = self.loop.time()
             logger.warning("{} connections of the application: unused ones are closed", len(self.clients))
-        return False
+        return unused is not None
 
     def room_for(self, count: int) -> bool:
         return self.budget.bytes + count <= self.budget.most_bytes
--- a/shedgrade/memory/upstreams.py
+++ b/shedgrade/memory/upstreams.py
@@ -8,19 +8,31 @@
 
 
 class Indices:
-    """Upstreams by a small index, given at first sight and kept for life."""
+    """Upstreams by a small index, given at first sight and free again once the upstream is forgotten."""
 
     def __init__(self) -> None:
         self.by_id: dict[str, int] = {}
         self.ids: list[str] = []
+        self.free: list[int] = []
 
     def index(self, name: str) -> int:
         index = self.by_id.get(name)
         if index is None:
-            index = self.by_id[name] = len(self.ids)
-            self.ids.append(name)
+            if self.free:
+                index = self.free.pop()
+                self.ids[index] = name
+            else:
+                index = len(self.ids)
+                self.ids.append(name)
+            self.by_id[name] = index
         return index
 
+    def release(self, index: int) -> str:
+        name = self.ids[index]
+        del self.by_id[name]
+        self.free.append(index)
+        return name
+
     def row(self, name: str, zone: int, state: int, started: int, cell: int, size: float, kind: int) -> tuple:
         """One entry of a list; the mark is what all sidecars call this upstream."""
         return self.index(name), zone, state, started, cell, crc32(name.encode()), size, kind
--- a/shedgrade/turn.py
+++ b/shedgrade/turn.py
@@ -20,8 +20,10 @@
 class Turn:
     """Owns the RPCs in hand and all calls on the decisions."""
 
-    def __init__(self, loop, clock, balancer: decide.Balancer, caller, names: list[str], budget) -> None:
+    def __init__(self, loop, clock, balancer: decide.Balancer, caller, names: list[str], budget,
+                 forget: Callable[[int], None]) -> None:
         self.loop, self.clock, self.balancer, self.caller, self.names = loop, clock, balancer, caller, names
+        self.forget = forget                # told of each upstream that the decisions have given up
         self.events: list[tuple] = []
         self.actions: list[tuple] = []
         self.in_hand = InHand(budget)
@@ -69,6 +71,9 @@
             actions, self.actions = self.actions, []
             for call, args in actions:
                 self.guarded(call, *args)
+        # Only now that nothing gathered names an upstream by its index may the index be another's.
+        for upstream in self.balancer.released():
+            self.forget(upstream)
         self.set_timer()
 
     def guarded(self, call: Callable, *args) -> None:
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -55,6 +55,10 @@
         self.version = version
         return rows, whole, moved
 
+    def forget(self, upstream: int) -> None:
+        self.told.pop(self.indices.release(upstream), None)
+        self.addresses.known.pop(upstream, None)
+
     def entry(self, instance: dict) -> tuple[tuple, tuple]:
         name, state, started = instance["instanceId"], STATES[instance["lifecycle"]], instance["startedAtMs"]
         cell, weight = instance.get("cell", 0), instance.get("weight", 1.0)
--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -18,9 +18,9 @@
 class UpstreamConnection(Connection):
     """One connection to an upstream; carries one transmission at a time."""
 
-    def __init__(self, caller: "Caller", upstream: int) -> None:
+    def __init__(self, caller: "Caller", upstream: int, address: tuple[str, int]) -> None:
         super().__init__()
-        self.caller, self.upstream = caller, upstream
+        self.caller, self.upstream, self.address = caller, upstream, address
         self.parser = httptools.HttpResponseParser(self)
         self.transmission: Transmission | None = None
         self.whole = False      # the request's last byte has left this process
@@ -176,10 +176,10 @@
 
     async def dial(self, transmission: Transmission) -> None:
         upstream = transmission.upstream
-        host, port = self.addresses[upstream]
+        address = self.addresses[upstream]
         try:
-            _, link = await self.loop.create_connection(lambda: UpstreamConnection(self, upstream),
-                                                        host, port)
+            _, link = await self.loop.create_connection(lambda: UpstreamConnection(self, upstream, address),
+                                                        *address)
         except (OSError, RuntimeError) as failure:
             outcome = decide.UNSENT if getattr(failure, "errno", None) in OURS else decide.UNCONNECTED
             if self.dials.pop(transmission, None):
@@ -220,6 +220,10 @@
         return oldest is not None
 
     def keep(self, link: UpstreamConnection) -> None:
+        # Guards against a move while it was out: this one leads to where the upstream was.
+        if self.addresses.get(link.upstream) != link.address:
+            link.cut()
+            return
         self.idle.put(link.upstream, link, self.clock.now())
 
     def closed(self, link: UpstreamConnection) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -31,7 +31,7 @@
         if answer[0] >= 0:
             rpc.ended(now, 0, decide.FAILED, 1, False)
             rpc.decide(now)
-    assert sum(up.aside_until > 40 for up in b.ups) == 2
+    assert sum(up.aside_until > 40 for up in b.ups.values()) == 2
 
 
 def test_late_ends_shrink_the_window_of_their_zone_only_where_the_upstream_is_ordinary():
@@ -109,7 +109,7 @@
     picks = set()
     for seed in range(20):
         b = balancer(settings(), [(up, 0) for up in range(8)], seed)
-        for up in b.ups:
+        for up in b.ups.values():
             b.set_aside(0, up, True)
         picks.add(send(b)[1][0])
     assert len(picks) > 4
@@ -267,3 +267,18 @@
     assert answer is None and b.probes() == [0]
     assert b.probed(5, 0, decide.COMPLETED) is rpc and rpc.decide(5)[0] == 0
     assert list(b.due(40000)) == [rpc] and b.zones[0].ring == [b.ups[0]] and b.aside == 0
+
+
+def test_what_is_gone_with_nothing_out_is_forgotten_and_its_index_inherits_nothing():
+    b = balancer(settings([method("once", soft=5000.0, hard=5000.0)]), [(0, 0), (1, 0)])
+    rpc = b.take(0, 0, 40000)
+    up, _ = rpc.decide(0)
+    b.ups[up].bad, b.ups[1 - up].bad = 7.0, 7.0
+    b.list_changed(1, [row(up, state=decide.REMOVED)], False, True)
+    assert b.released() == [] and up in b.ups       # its RPC is still out
+    rpc.ended(2, 0, decide.COMPLETED, 2, True)
+    assert b.released() == [up] and list(b.ups) == [1 - up] and b.zones[0].flight == 0
+    b.list_changed(3, [row(up)], True, True)        # whole: the other is gone, and this one is a new one
+    assert b.released() == [1 - up] and list(b.ups) == [up] == list(b.marks) and b.ups[up].bad == 0
+    b.list_changed(4, [row(up, state=decide.REMOVED), row(up), row(9, state=decide.REMOVED)], False, True)
+    assert b.released() == [9] and b.zones[0].ring == [b.ups[up]] and b.ready == 1
--- a/tests/test_in_memory.py
+++ b/tests/test_in_memory.py
@@ -73,7 +73,8 @@
     def __init__(self, conf):
         self.loop, self.carried, self.out, self.told, self.wrong = Loop(), [], [], Counter(), 0
         self.balancer = decide.Balancer(conf, 1, 0)
-        self.turn = Turn(self.loop, self.loop, self.balancer, self, list("0123"), Budget(100, 1))
+        self.turn = Turn(self.loop, self.loop, self.balancer, self, list("0123"), Budget(100, 1),
+                         lambda upstream: None)
         self.turn.listed([row(up, up % 2) for up in range(4)], True, False)
         self.loop.run()
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -55,7 +55,7 @@
             self.b.ups[up].cell = up % 2
 
     def answer(self, rpc, model):
-        for up in self.b.ups:
+        for up in self.b.ups.values():
             assert rpc.allowed(up, self.now) == model.may_repeat(self.now, up.zone, up.cell)
         answer = rpc.decide(self.now)
         if answer is None:
@@ -109,7 +109,8 @@
         models = dict(self.rpcs)
         for rpc in self.b.due(self.now):
             self.answer(rpc, models[rpc])
-        for up in self.b.ups:
+        for up in self.b.ups.values():
+            assert up.flight or up.state != decide.REMOVED
             assert up.flight == sum(send["up"] == up.index for _, m in self.rpcs for send in m.out())
 
     def relist(self, up, state):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -344,6 +344,39 @@
     logger.remove(sink)
 
 
+@on_sockets
+async def test_what_has_gone_leaves_memory_and_a_new_id_at_its_address_is_a_new_upstream():
+    async with World(serve) as world:
+        sidecar, kept = world.sidecar, []
+        for number in range(6):
+            assert (await ask(world))[0] == 200
+            kept.append((len(sidecar.reader.told), len(sidecar.reader.indices.ids), len(sidecar.balancer.ups),
+                         len(sidecar.reader.addresses.known), len(sidecar.caller.heard),
+                         len(sidecar.caller.idle.by_upstream), len(sidecar.balancer.marks)))
+            told = {"instanceId": f"new-{number}" if number else "s-0", "lifecycle": "terminated"}
+            await world.tell(told, {**world.entry(0), "instanceId": f"new-{number + 1}"})
+            assert not sidecar.caller.idle
+        assert kept[1:] == [(1, 2, 1, 1, 1, 1, 1)] * 5 and world.upstreams[0].connections == 6
+
+
+@on_sockets
+async def test_a_connection_to_where_an_upstream_was_is_not_kept():
+    release = asyncio.Event()
+
+    async def late(head, body):
+        await release.wait()
+        return serve(head, body)
+
+    async with World(late, serve) as world:
+        await world.tell(world.entry(0), reset=True)
+        asking = asyncio.create_task(ask(world))
+        await until(lambda: world.sent() == 1)
+        await world.tell({**world.entry(0), "hostPort": world.upstreams[1].address})
+        release.set()
+        assert (await asking)[0] == 200 and not world.sidecar.caller.idle
+        assert (await ask(world, request(name="a2")))[0] == 200 and len(world.upstreams[1].seen) == 1
+
+
 @on_sockets
 async def test_up_says_when_a_list_is_there():
     async with World(serve, known=False) as world:
@@ -396,7 +429,11 @@
 @on_sockets
 async def test_in_a_crowd_unused_connections_go_first_and_requests_are_still_answered():
     async with World(serve, sockets=100) as world:      # 36 for connections, 27 of them for clients
+        pauses = []
+        pause = world.sidecar.listener.pause
+        world.sidecar.listener.pause = lambda: (pauses.append(1), pause())
         crowd = [await world.connect() for _ in range(60)]
+        assert not pauses       # what is closed makes room at once: the kernel's queue never waits for it
         assert [(await ask(world))[0] for _ in range(5)] == [200] * 5
         assert len(world.sidecar.clients) <= world.sidecar.budget.most_clients
         for _, writer in crowd:
