A late first request leaves its connection to the next RPC; its time is not its upstream's

Traced: of 399 ends on new connections 257 were time-outs, where kept ones had 21 in 11,000. First requests that completed mostly took 124 ms and more, of a soft deadline of 150 ms. Cause: Turn.expire closed the connection of every transmission whose time was up (Caller.stop), so that the next RPC paid for a new one and was late as well; and decide.py took the time of first requests as the upstream's: windows shrank (ended), the fitted line rose (learn), two of them set it aside. Change: Caller.give_up leaves such a connection open if the request was whole and no other transmission follows for its RPC, for dial_timeout at most; the answer reaches nobody, after it the connection is kept.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -6,7 +6,7 @@
   b.list_failed(now)                      the call for the list failed, or the subscription broke
   rpc = b.take(now, method, give_up_at, retry, tag)  a handle; rpc.decide(now) then says what to do with it:
       None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
-  rpc.ended(now, tx, outcome, took, settled)   one transmission ended: returns the transmissions to stop
+  rpc.ended(now, tx, outcome, took, settled, fresh)   fresh: first on its connection; returns what to stop
   rpc.started()                           a streamed answer has begun
   rpc.gone(now)                           the client has left
   b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
@@ -235,7 +235,7 @@
         self.sent.append(now)
         return up.index, max(1, limit)
 
-    def ended(self, now: int, tx: int, outcome: int, took: int, settled: bool) -> list[int]:
+    def ended(self, now: int, tx: int, outcome: int, took: int, settled: bool, fresh=False) -> list[int]:
         home, up = self.home, self.tries[tx]
         zone = home.zones[up.zone]
         crowd = self.out.pop(tx)
@@ -245,7 +245,7 @@
         # Guards against windows that lag: where ends are rare, each counts for more, as if all came in step.
         gain = min(5.0, 0.3 + 3 * (now - zone.last_end) / SECOND)
         zone.last_end = now
-        if outcome in (TIMED_OUT, COMPLETED):
+        if outcome in (TIMED_OUT, COMPLETED) and not fresh:
             over = min(1.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
             # Slow among sound ones is an upstream's own fault, not the crowd's.
             if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
@@ -254,7 +254,7 @@
                 zone.window *= max(GROW if zone.window > 1 else 1.0, exp(-STEP * over * gain))
             late = outcome == TIMED_OUT or took > LATE * self.method.soft
             home.late += (late - home.late) / max(10.0, min(ENOUGH, home.sums[0]))
-        home.learn(now, up, outcome, took, crowd)
+        home.learn(now, up, outcome, took, crowd, fresh)
         home.release(up)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
@@ -298,8 +298,7 @@
         self.peer_price = settings["prices"].get("peer", 0.0) if limits["may_tell"] else None
         self.credit, self.cross_price = 0.0, settings["prices"].get("cross_zone", 0.0)
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
-        self.alarms, self.held, self.count = [], [], count().__next__
-        self.flight, self.spare = 0, 5.0
+        self.alarms, self.held, self.count, self.flight, self.spare = [], [], count().__next__, 0, 5.0
         self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] else None
         self.late, self.questions = 0.05, []    # the share of late ends, at first believed; whom to ask now
         self.reports, self.load = settings["report"]["via"] != "off", 0.0     # and the mean load reported
@@ -613,9 +612,10 @@
 
     # --- is an upstream well
 
-    def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int) -> None:
+    def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int, fresh: bool) -> None:
         up.fade(now, self.memory)
-        if outcome in (COMPLETED, TIMED_OUT):
+        # Guards against dear connections: what the first RPC on one took tells of it, not of the upstream.
+        if outcome in (COMPLETED, TIMED_OUT) and not fresh:
             up.took += took
             usual = self.usual(up, crowd)
             up.foreseen += usual
@@ -636,7 +636,7 @@
             up.good += 1
             up.trial = False
         elif outcome in (FAILED, TIMED_OUT, DROPPED, BROKEN):
-            up.bad += 1
+            up.bad += 0.5 if fresh and outcome == TIMED_OUT else 1.0
         # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that
         # outweigh the good ones, or one connection refused, set an upstream aside; one that broke tells less.
         if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or (up.trial and outcome != COMPLETED):
--- a/shedgrade/memory/in_hand.py
+++ b/shedgrade/memory/in_hand.py
@@ -37,12 +37,12 @@
 
 class Transmission:
     """One transmission; `link` is the connection that carries it, once there is one."""
-    __slots__ = ("carried", "tx", "upstream", "sent", "until", "dial_until", "link")
+    __slots__ = ("carried", "tx", "upstream", "sent", "until", "dial_until", "link", "fresh")
 
     def __init__(self, carried: Carried, tx: int, upstream: int, sent: int, until: int) -> None:
         self.carried, self.tx, self.upstream = carried, tx, upstream
         self.sent, self.until, self.dial_until = sent, until, None
-        self.link = None
+        self.link, self.fresh = None, False     # fresh: the first on its connection
 
     def still_out(self) -> bool:
         """False once its end has been told: what comes later reaches nobody."""
--- a/shedgrade/turn.py
+++ b/shedgrade/turn.py
@@ -131,9 +131,13 @@
         if served:
             self.finish(carried)
             self.actions.append((carried.client.completed, (answer,)))
-        stops = carried.rpc.ended(now, tx, outcome, max(0, at - transmission.sent), carried.done)
+        stops = carried.rpc.ended(now, tx, outcome, max(0, at - transmission.sent), carried.done,
+                                  transmission.fresh)
         self.stop(now, carried, stops)
+        done = len(self.actions)
         self.decide(now, carried)
+        if not carried.done:
+            self.actions.insert(done, (self.caller.abandon, (transmission,)))
 
     def gone(self, now: int, carried: Carried) -> None:
         if carried.done:
@@ -193,7 +197,7 @@
             if now < transmission.until and not (dialling and now >= transmission.dial_until):
                 continue
             upstream = self.names[transmission.upstream]
-            if self.caller.stop(transmission):
+            if self.caller.give_up(transmission):
                 self.caller.silent(transmission)
                 outcome = decide.TIMED_OUT
                 logger.debug("transmission to {} timed out", upstream)
--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -28,6 +28,8 @@
         self.transmission: Transmission | None = None
         self.whole = False      # the request's last byte has left this process
         self.lost = False
+        self.proven = False     # an answer has come on it: what the first request pays is paid
+        self.orphan_until = 0   # its transmission was given up; until when the answer, for nobody, may come
         self.clear()
 
     def clear(self) -> None:
@@ -37,6 +39,7 @@
 
     def begin(self, transmission: Transmission, now: int) -> None:
         self.transmission, transmission.link = transmission, self
+        transmission.fresh = not self.proven
         self.clear()
         request = transmission.carried.request
         lines = [b"%s %s HTTP/1.1\r\n" % (request.verb, request.target)]
@@ -79,7 +82,7 @@
     def read(self) -> None:
         for part in self.incoming.parts():
             try:
-                if self.transmission is None or self.complete:
+                if (self.transmission is None and not self.orphan_until) or self.complete:
                     raise MessageError("bytes that nobody asked for")
                 self.head_left -= len(part) if not self.status else 0
                 self.parser.feed_data(part)
@@ -140,6 +143,8 @@
                 name.lower() == b"x-not-processed" and value == b"1" for name, value in self.headers)
             outcome, answer = decide.TURNED_AWAY if away else decide.FAILED, None
         self.caller.heard[self.upstream] = self.caller.clock.now()
+        self.proven, self.orphan_until = True, 0
+        self.caller.orphans.discard(self)
         if keep:
             self.caller.keep(self)
         else:
@@ -158,10 +163,11 @@
         self.open: set[UpstreamConnection] = set()
         self.heard: dict[int, int] = {}     # by upstream: when it last answered anything
         self.dials: dict[Transmission, asyncio.Task] = {}
+        self.orphans: set[UpstreamConnection] = set()
         self.turn = None
 
     def transmit(self, transmission: Transmission, now: int) -> None:
-        for stale in self.idle.stale(now):
+        for stale in (*self.idle.stale(now), *(link for link in self.orphans if link.orphan_until <= now)):
             stale.abort()
         link = self.idle.take(transmission.upstream, now)
         while link is not None and not link.alive():
@@ -212,6 +218,25 @@
         link.abort()
         return link.whole
 
+    def give_up(self, transmission: Transmission) -> bool:
+        """Stops waiting, but leaves a connection open on which the whole request is the first one.
+
+        Guards against dear connections: the first request on one pays for it, in time that deadlines may not
+        have. Closed then, it is paid for again by the next request, which is late as well. Its answer
+        reaches nobody; after it the connection is as good as any. `stop` says what is returned.
+        """
+        link = transmission.link
+        if not transmission.fresh or link is None or link.transmission is not transmission or not link.whole:
+            return self.stop(transmission)
+        link.transmission, link.orphan_until = None, self.clock.now() + self.dial_time
+        self.orphans.add(link)
+        return True
+
+    def abandon(self, transmission: Transmission) -> None:
+        """Another transmission may follow: guards against two out side by side."""
+        if transmission.link in self.orphans:
+            transmission.link.abort()
+
     def silent(self, transmission: Transmission) -> None:
         """Guards against a machine that vanished: its open connections stay silent, or are reset by a request
         that may then have run, whereas a new one that does not come up proves that nothing ran."""
@@ -219,7 +244,7 @@
             self.forget(transmission.upstream)
 
     def give_up_idle(self) -> bool:
-        oldest = self.idle.oldest()
+        oldest = self.idle.oldest() or next(iter(self.orphans), None)
         if oldest is not None:
             oldest.abort()
         return oldest is not None
@@ -234,6 +259,7 @@
     def closed(self, link: UpstreamConnection) -> None:
         self.idle.drop(link)
         self.open.discard(link)
+        self.orphans.discard(link)
 
     def forget(self, upstream: int) -> None:
         """Its process is another one now, drains or is gone."""
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -292,5 +292,19 @@
     rpc.ended(1, 0, decide.BROKEN, 1, False)
     assert not b.aside and rpc.decide(1)[0] != first
     for _ in range(2):
-        b.learn(2, b.ups[first], decide.BROKEN, 1, 1)
+        b.learn(2, b.ups[first], decide.BROKEN, 1, 1, False)
     assert b.ups[first].aside_until and b.aside == 1
+
+
+def test_what_a_first_request_on_its_connection_takes_is_not_held_against_its_upstream():
+    # Connections cost most of the soft deadline: windows shrank and sound upstreams went aside.
+    b = balancer(settings([method("once", soft=150.0, hard=400.0)]), [(0, 0), (1, 0)])
+    window, sums, kinds = b.zones[0].window, b.sums, dict(b.kinds)
+    for now in range(0, 300, 100):
+        rpc = b.take(now, 0, now + 4000)
+        rpc.decide(now)
+        rpc.ended(now + 90, 0, decide.TIMED_OUT, 1480, True, True)
+    assert (b.zones[0].window, b.sums, b.kinds, b.aside) == (window, sums, kinds, 0)
+    for _ in range(3):
+        b.learn(400, b.ups[0], decide.TIMED_OUT, 1480, 1, True)
+    assert b.aside == 1     # one that never answers is still found out
--- a/tests/test_in_memory.py
+++ b/tests/test_in_memory.py
@@ -86,6 +86,11 @@
     def stop(self, transmission):
         return True
 
+    give_up = stop
+
+    def abandon(self, transmission):
+        pass
+
     def silent(self, transmission):
         pass
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -19,6 +19,7 @@
     World,
     ask,
     message,
+    method,
     on_sockets,
     outcomes,
     read_message,
@@ -249,6 +250,51 @@
         assert len(caller.idle) == 0
 
 
+@on_sockets
+async def test_a_first_request_that_was_late_has_paid_for_its_connection_and_its_answer_reaches_nobody():
+    release = asyncio.Event()
+
+    async def late(head, body):
+        if body == b"first":
+            await release.wait()
+        return serve(head, body)
+
+    async with World(late) as world:
+        caller = world.sidecar.caller
+        caller.idle.settled = 0
+        assert (await ask(world, request(b"first", wait=250)))[0] == 502 and len(caller.orphans) == 1
+        assert not caller.idle and not world.sidecar.turn.in_hand
+        release.set()
+        await until(lambda: caller.idle)
+        assert not caller.orphans and (await ask(world))[::2] == (200, b"")
+        assert world.upstreams[0].connections == 1 and world.sent() == 2
+
+
+@on_sockets
+async def test_a_first_request_that_was_late_is_cut_off_before_another_follows_or_when_it_stays_away():
+    methods = [method(soft=2000.0, hard=4000.0)]
+    def silent_once(*_):
+        return SILENT if world.sent() < 2 else message()
+
+    async with World(silent_once, silent_once, methods=methods) as world:
+        world.sidecar.balancer.sums = [100.0, 150.0, 1000.0, 250.0, 1500.0]
+        world.sidecar.balancer.fit()
+        for up in world.sidecar.balancer.ups.values():
+            up.bad, up.stamp = 1.0, world.sidecar.clock.now()   # so that the first gets part of the time
+        with outcomes() as ends:
+            first = asyncio.create_task(ask(world, request(wait=4000)))
+            await until(lambda: world.sent() == 2)
+            assert ends[0] == decide.TIMED_OUT
+            assert all(link.transport.is_closing() for link in world.sidecar.caller.orphans)
+        assert (await first)[0] == 200
+    async with World(lambda *_: SILENT) as world:
+        caller = world.sidecar.caller
+        assert (await ask(world, request(wait=250)))[0] == 502 and len(caller.orphans) == 1
+        next(iter(caller.orphans)).orphan_until = 1
+        await ask(world, request(wait=250))
+        assert len(caller.orphans) == 1 and len(caller.open) == 1
+
+
 @on_sockets
 async def test_a_refused_connection_and_one_that_broke_are_told_apart():
     async with World(serve) as world:
