Where many connections are open, an answer ends its own: clients ran out of theirs

Most RPCs came on a connection of their own that stayed open; the clients, who may hold a third of the descriptors, ran out before the sidecar closed any (make_room acts at three quarters, lifecycle/sidecar.py). Ruled out by a line for each end, answer and eviction: the module, the byte budget, UNSENT, bad clients.

--- a/shedgrade/lifecycle/sidecar.py
+++ b/shedgrade/lifecycle/sidecar.py
@@ -21,6 +21,8 @@
 AT_LAST = 0.6           # s beyond the longest hard deadline after which what is left is cut: SIGKILL is near
 IDLE_MARGIN = 10_000    # tenths of a ms before the idle limit: the upstream's timer must not be first
 BETWEEN = 10.0          # s between two lines about the same crowd
+CROWDED = 4             # part of the connections there is room for: calm days use a tenth, and clients,
+                        # who hold a third of the descriptors at most, have as many again
 LOOK_AFTER = 0.25       # s between two looks for clients that are overdue: they are owed an end within 3 s
 LOOK = 0.05             # s between two looks at whether all is answered and closed
 
@@ -155,6 +157,11 @@
         if self.clients.pop(connection, self) is None:
             self.budget.clients = len(self.clients)
 
+    def crowded(self) -> bool:
+        """Guards against connections that ask once and stay: their owners run out of connections before this
+        side does, so here answers end their connection."""
+        return len(self.clients) >= self.budget.most_clients // CROWDED
+
     def make_room(self) -> bool:
         """Room for one more connection of the application: the longest unused idle one goes.
 
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -236,7 +236,8 @@
         self.sidecar.used(self)
         if self.transport.is_closing():
             return
-        if self.sidecar.leaving() and not (self.requests or self.begun or self.incoming):
+        ending = self.sidecar.leaving() or self.sidecar.crowded()
+        if ending and not (self.requests or self.begun or self.incoming):
             self.last = True
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS[status])]
         lines += [b"%s: %s\r\n" % pair for pair in headers]
--- a/tests/test_in_memory.py
+++ b/tests/test_in_memory.py
@@ -205,7 +205,8 @@
     turn = SimpleNamespace(arrived=lambda carried, *_: taken.append(carried), left=lambda carried: None,
                            in_hand=SimpleNamespace(names=()))
     return SimpleNamespace(methods={b"m": 0}, turn=turn, opened=lambda _: None, used=lambda _: None,
-                           room_for=lambda _: True, leaving=lambda: False, ready=lambda: True,
+                           room_for=lambda _: True, leaving=lambda: False, crowded=lambda: False,
+                           ready=lambda: True,
                            closed=lambda _: None, loop=SimpleNamespace(time=lambda: 0.0))
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -510,6 +510,19 @@
             writer.close()
 
 
+@on_sockets
+async def test_where_many_connections_are_open_answers_end_theirs():
+    # Clients that asked once and stayed had used up their owners' connections while there was room here.
+    async with World(serve, sockets=100) as world:      # 27 for clients, a crowd from 6 on
+        kept = [await world.connect() for _ in range(5)]
+        assert "Connection: close" not in (await ask(world, connection=kept[0]))[1]
+        late = await world.connect()
+        await until(lambda: len(world.sidecar.clients) == 6)
+        assert "Connection: close" in (await ask(world, connection=late))[1] and await late[0].read() == b""
+        await until(lambda: len(world.sidecar.clients) == 5)
+        assert "Connection: close" not in (await ask(world, connection=kept[0]))[1]
+
+
 @on_sockets
 async def test_without_descriptors_idle_upstreams_go_first_and_then_nothing_is_sent():
     async with World(serve, serve) as world:
