--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -1,5 +1,4 @@
 """The batch protocol on a pair of byte streams."""
-from base64 import b64decode, b64encode
 from math import ceil, floor, inf
 from typing import BinaryIO
 
@@ -166,11 +165,7 @@
         self.rpc(event).started()
 
     def inbox(self, event: dict, now: int, lists: dict, out: list) -> None:
-        try:
-            contents = b64decode(optional(event, "contents", (str,), ""), validate=True)
-        except ValueError as wrong:
-            raise BadInputError("contents", f"not base64 ({wrong})") from wrong
-        self.balancer.heard(now, event["who"], contents)
+        """Sidecars tell each other nothing: what an older build told is of no use."""
 
     # --- answers
 
@@ -204,9 +199,6 @@
             self.say(out, "follow", active=True)
         for index in balancer.released():
             self.upstreams.release(index)
-        told = balancer.tells(now)
-        if told is not None:
-            self.say(out, "write_peer", target=None, contents=b64encode(told).decode())
         wake = balancer.wake_at()
         if wake < self.armed:
             self.armed = wake
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -14,7 +14,6 @@
   b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
   b.probes()                              upstreams to be asked now; b.probed(now, upstream, outcome, load)
                                           takes how one ended, returns the handle to ask again or None
-  b.tells(now)                            bytes for all other sidecars, or None; b.heard(now, sidecar, bytes)
   b.wants_list(now)                       True: subscribe to the list of upstreams now
   b.luck(method)                          a draw by which a gate before the decisions gives up the cheap first
   b.released()                            upstreams that are forgotten: their indices are free
@@ -22,9 +21,8 @@
 from bisect import bisect_left, insort
 from heapq import heappop, heappush
 from itertools import count
-from math import exp, inf
+from math import ceil, exp, inf
 from random import Random
-from struct import iter_unpack, pack
 
 EXHAUSTED, ERRORED = -1, -2
 # States of an upstream in the list, and ways a transmission ends, of which four prove that it never ran.
@@ -42,12 +40,13 @@
 MARGIN = 0.5            # passed over if this far above the zone's mean in flight: half an RPC is not chance
 EASY = 0.15             # of the shortest soft deadline: whatever is foreseen within it takes all its turns
 SWIFT = 0.7             # of the zone's mean time: faster upstreams take all turns, slower ones fewer of them
+PART = 3                # upstreams of a zone that a sidecar keeps to at least: two may fail at once
+COVER = 20              # sidecars of its zone that keep to an upstream: each then weighs a twentieth there
+GOLDEN = 0.6180339887   # spreads any count of numbers evenly over a circle
 VISITS = 16             # upstreams looked at for one choice at most: work does not grow with the fleet
 ROOM = 0.6              # an upstream takes one more while this much of the time left is expected to do for it
 
 WAIT = 0.5              # of the pace at which transmissions end is counted on: most waits end well
-TELLING = 0.002         # of an RPC's payoff may go into telling the other sidecars: a fifth of a point in 100
-FRESH = 8               # RPCs between two messages at most: counts of one RPC in flight are stale by then
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 LATE = 0.7              # of the soft deadline: slower ends count as late
@@ -59,14 +58,15 @@
 
 class Upstream:
     """One server as this balancer has seen it."""
-    __slots__ = ("index", "zone", "cell", "state", "started", "flight", "others", "mark", "took", "foreseen",
+    __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "load", "doubt", "held")
+                 "cold_turns", "cold_stamp", "load", "doubt", "held", "crowd")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
-        self.started = self.flight = self.others = 0
+        self.started = self.flight = 0
         self.mark, self.size, self.kind, self.listed = None, 1.0, None, False
+        self.crowd = 0.0        # RPCs held a core, as the list tells by its size
         self.held = 0           # streams that are open there: they load it, but are no work in flight
         self.doubt = 0          # good ends it still owes before it gets more than one RPC at a time
         self.turns = self.cold_turns = turns
@@ -86,12 +86,14 @@
 
 
 class Zone:
-    """The rotation of one zone."""
-    __slots__ = ("ring", "turn", "flight", "window", "usual", "last_end", "read", "held")
+    """The rotation of one zone: `ring`, of its `ready` upstreams, or of the `part` this sidecar keeps to."""
+    __slots__ = ("ring", "ready", "part", "turn", "flight", "window", "usual", "last_end", "read", "held", "moved")
 
     def __init__(self, turn: float) -> None:
         self.ring, self.turn, self.flight, self.window, self.usual = [], turn, 0, inf, 0.0
+        self.ready, self.part = 0, None
         self.last_end = self.read = self.held = 0
+        self.moved = False
 
     def full(self, rpc: "Rpc") -> bool:
         """A window between two counts admits that part of the RPCs, each by its own luck."""
@@ -235,7 +237,7 @@
                     # Only where more has failed than completed lately: elsewhere the work cut off is lost.
                     limit = min(limit, patience)
         home.count_in(up, 1, 0)
-        self.out[len(self.tries)] = up.flight + up.others
+        self.out[len(self.tries)] = up.flight
         self.tries.append(up)
         self.sent.append(now)
         return up.index, max(1, limit)
@@ -291,6 +293,11 @@
         self.longest_wait = int(limits["max_retry_after"] * 10) if limits["retry_after"] else 0
         self.slack = 2 * int(settings["tick"] * 10)
         self.own, self.sidecars = settings["az"], settings["balancers"]
+        # Where connections are shared, each sidecar keeps to a part of each zone, by its number.
+        self.keeps = limits.get("multiplex", 1) > 1 and self.sidecars > 1
+        self.place = settings.get("my_number", 0) * GOLDEN % 1
+        self.live = settings.get("weight_kind") == "live"
+        self.nominal: dict[int, float] = {}     # by kind: the size of an idle one, where sizes move with load
         self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
         self.fall_multiple = rules["fall_multiple"]
         top = max((m["payoff"] for m in settings["methods"]), default=1)
@@ -305,10 +312,7 @@
         self.sizes = 0.0                        # the sum of what the list says of their sizes
         self.kinds: dict[int, list] = {}        # by kind of upstream: took, foreseen, since when
         self.memory = MEMORY
-        self.marks: dict[int, Upstream] = {}    # by what all sidecars call an upstream
-        self.told: dict[int, tuple] = {}        # by sidecar: when it told, and its counts
-        self.peer_price = settings["prices"].get("peer", 0.0) if limits["may_tell"] else None
-        self.credit, self.cross_price = 0.0, settings["prices"].get("cross_zone", 0.0)
+        self.cross_price = settings["prices"].get("cross_zone", 0.0)
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.count, self.flight, self.spare = [], [], count().__next__, 0, 5.0
         self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] else None
@@ -347,15 +351,20 @@
                 up.forget()
                 up.cold_turns = self.chance()
             up.cell, up.started, up.mark, up.kind = cell, started, mark, kind
+            if self.live:
+                # Load moves the size that the list tells; that of its kind at rest stays.
+                self.nominal[kind] = nominal = max(size, self.nominal.get(kind, size))
+                up.crowd, size = nominal / size - 1, nominal
             if asked and up.doubt:
                 # Discovery itself names it: what an older source left in doubt is settled.
                 up.doubt, up.trial = 0, False
                 if self.latent.pop(index, None):
                     self.back(up)
-            self.marks[mark] = up
             self.relist(up, zone, state, size)
             self.release(up)
         for zone in self.zones:
+            if zone.moved:
+                self.deal(zone)
             if zone.window == inf and zone.ring:
                 zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
@@ -364,6 +373,9 @@
         if up.listed:
             self.ready, self.sizes = self.ready - 1, self.sizes - up.size
             self.aside -= bool(up.aside_until)
+        for number in {up.zone, zone} - {None}:
+            place = self.zones[number]
+            place.moved |= up.zone != zone or up.listed != (state == READY) or up.size != (size or up.size)
         if up.zone != zone:
             self.rotation(up, False)
             if up.zone is not None:
@@ -381,17 +393,40 @@
 
     def rotation(self, up: Upstream, wanted: bool) -> None:
         zone = self.zones[up.zone] if up.zone is not None else None
-        if zone is not None and (up in zone.ring) != wanted:
+        if zone is not None and (up in zone.ring) != (wanted and (zone.part is None or up in zone.part)):
             (zone.ring.append if wanted else zone.ring.remove)(up)
 
+    def deal(self, zone: Zone) -> None:
+        """Guards against hundreds of sidecars with a connection each to every upstream: connections cost it
+        work, and it accepts so many. A part of the zone, even over all by size, by this sidecar's number;
+        points on a circle of the upstreams, so that a change in the list moves few."""
+        zone.moved = False
+        ups = [up for up in self.ups.values() if up.listed and self.zones[up.zone] is zone]
+        zone.ready = len(ups)
+        if not self.keeps:
+            return
+        number = ceil(COVER * len(ups) * len(self.zones) / self.sidecars)
+        number = max(PART, number) if zone is self.zones[self.own] else max(2, ceil(number / 2))
+        zone.part, reach = set(ups), 0.0
+        if number < len(ups):
+            ups.sort(key=lambda up: up.mark)
+            total = sum(up.size for up in ups)
+            points = sorted((self.place + step / number) % 1 * total for step in range(number))
+            for up in ups:
+                before, reach = reach, reach + up.size
+                if not any(before <= point < reach for point in points):
+                    zone.part.remove(up)
+        zone.ring = [up for up in zone.ring if up in zone.part]
+        for up in ups:
+            self.rotation(up, not up.aside_until)
+
     def release(self, up: Upstream) -> None:
         """What is gone with nothing out leaves memory: its index may be another's, which inherits nothing."""
         index = up.index
         busy = up.flight or up.held or self.waiting.get(index)
         if up.state == REMOVED and not busy and self.ups.get(index) is up:
-            for kept, key in ((self.ups, index), (self.marks, up.mark), (self.waiting, index),
-                              (self.latent, index)):
-                kept.pop(key, None)
+            for kept in (self.ups, self.waiting, self.latent):
+                kept.pop(index, None)
             self.left.append(index)
 
     def released(self) -> list[int]:
@@ -496,7 +531,7 @@
             open_zones.remove(own)
         # A zone without room is left out and the draw repeated.
         while open_zones:
-            zone = self.pick(open_zones, [len(zone.ring) for zone in open_zones])[0]
+            zone = self.pick(open_zones, [zone.ready if self.keeps else len(zone.ring) for zone in open_zones])[0]
             up = self.rotate(zone, now, rpc, left)
             if up is not None:
                 return up
@@ -547,6 +582,9 @@
         # mostly lie unused. Three quarters of the multiple, for chance.
         rate = self.sums[0] * exp((self.stamp - now) / self.memory) / self.memory / max(1, self.ready)
         rate *= (self.base + self.slope) / self.usual(up, 1) * self.warmth(up, now)
+        zone = self.zones[up.zone]
+        if zone.part:
+            rate *= zone.ready / len(zone.part) * ((len(self.zones) + 1) / 2 if up.zone == self.own else 0.5)
         since = now - max(up.cold_stamp, up.started)
         up.cold_turns = min(1.0, up.cold_turns + since * rate * 0.75 * self.fall_multiple)
         up.cold_stamp = now
@@ -592,7 +630,7 @@
         up.fade(now, self.memory)
         alike = self.base + self.slope
         slowness = (up.took + alike) / (up.foreseen + alike)
-        return slowness * self.usual(up, up.flight + up.others + 1)
+        return slowness * self.usual(up, up.flight + 1)
 
     def typical(self) -> float:
         return self.sums[2] / self.sums[0]
@@ -665,36 +703,6 @@
                 rpc.least = up
         return rpc
 
-    # --- what the sidecars tell each other, where they may
-
-    def tells(self, now: int) -> bytes | None:
-        """Own counts of what is in flight, as often as a small part of an RPC's payoff can buy."""
-        if self.peer_price is None or self.sidecars < 2:
-            return None
-        # Counts grow stale while the credit for them is saved: among many, telling fades out by itself.
-        each = (self.sidecars - 1) * self.peer_price / 256
-        if 6 * each > FRESH * TELLING or self.credit < 6 * each:
-            return None
-        busy = [up for up in self.ups.values() if up.flight and up.state != REMOVED][:50]
-        if self.credit < (len(busy) * 5 + 1) * each:
-            return None
-        self.credit = 0.0
-        return b"".join(pack("<IB", up.mark, min(255, up.flight)) for up in busy) or b"\0"
-
-    def heard(self, now: int, sidecar: int, contents: bytes) -> None:
-        """Lost or late counts do little harm: they stand until the next message replaces them, or 2 s."""
-        self.forget_told(sidecar)
-        pairs = iter_unpack("<IB", contents[:len(contents) // 5 * 5])
-        counts = [(self.marks[mark], flight) for mark, flight in pairs if mark in self.marks]
-        for up, flight in counts:
-            up.others += flight
-        self.told[sidecar] = now, counts
-
-    def forget_told(self, sidecar: int) -> None:
-        if sidecar in self.told:
-            for up, flight in self.told.pop(sidecar)[1]:
-                up.others -= flight
-
     # --- is an upstream well
 
     def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int, fresh: bool) -> None:
@@ -789,17 +797,10 @@
     def take(self, now: int, method: int, give_up_at: int, retry: bool = False, tag: object = None) -> Rpc:
         # One further transmission for ten RPCs: enough for single faults, too little for a storm.
         self.spare = min(10.0, self.spare + 0.1)
-        if self.peer_price is not None:
-            self.credit += TELLING
         return Rpc(self, self.methods[method], now, give_up_at, retry, tag)
 
     def due(self, now: int):
         """Yields the handles that should be asked again, each before the next is looked for."""
-        while self.told:
-            oldest = next(iter(self.told))      # in the order in which they told
-            if self.told[oldest][0] >= now - 2 * SECOND:
-                break
-            self.forget_told(oldest)
         while self.alarms and self.alarms[0][0] <= now:
             rpc = heappop(self.alarms)[2]
             if isinstance(rpc, Upstream):
