--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -237,7 +237,7 @@
                     # Only where more has failed than completed lately: elsewhere the work cut off is lost.
                     limit = min(limit, patience)
         home.count_in(up, 1, 0)
-        self.out[len(self.tries)] = up.flight
+        self.out[len(self.tries)] = up.flight + up.crowd
         self.tries.append(up)
         self.sent.append(now)
         return up.index, max(1, limit)
@@ -315,7 +315,9 @@
         self.cross_price = settings["prices"].get("cross_zone", 0.0)
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.count, self.flight, self.spare = [], [], count().__next__, 0, 5.0
-        self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] else None
+        # Where every answer brings a report, or the list tells load, asking adds nothing worth its price.
+        told = self.live or settings["report"]["via"] == "inline"
+        self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] and not told else None
         self.late, self.questions = 0.05, []    # the share of late ends, at first believed; whom to ask now
         self.reports, self.load = settings["report"]["via"] != "off", 0.0     # and the mean load reported
         self.waiting: dict[int, list] = {}      # by upstream: the RPCs that wait for its answers, in order
@@ -366,7 +368,7 @@
             if zone.moved:
                 self.deal(zone)
             if zone.window == inf and zone.ring:
-                zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
+                zone.window = THRESHOLD if zone.part else max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
     def relist(self, up: Upstream, zone: int | None, state: int, size: float | None = None) -> None:
         """A change in the list costs what changed: rotations lose and gain just the upstreams it names."""
@@ -630,7 +632,7 @@
         up.fade(now, self.memory)
         alike = self.base + self.slope
         slowness = (up.took + alike) / (up.foreseen + alike)
-        return slowness * self.usual(up, up.flight + 1)
+        return slowness * self.usual(up, up.flight + up.crowd + 1)
 
     def typical(self) -> float:
         return self.sums[2] / self.sums[0]
