--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -368,7 +368,7 @@
             if zone.moved:
                 self.deal(zone)
             if zone.window == inf and zone.ring:
-                zone.window = THRESHOLD if zone.part else max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
+                zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
     def relist(self, up: Upstream, zone: int | None, state: int, size: float | None = None) -> None:
         """A change in the list costs what changed: rotations lose and gain just the upstreams it names."""
