--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -41,7 +41,7 @@
 EASY = 0.15             # of the shortest soft deadline: whatever is foreseen within it takes all its turns
 SWIFT = 0.7             # of the zone's mean time: faster upstreams take all turns, slower ones fewer of them
 PART = 3                # upstreams of a zone that a sidecar keeps to at least: two may fail at once
-COVER = 20              # sidecars of its zone that keep to an upstream: each then weighs a twentieth there
+COVER = 15              # sidecars of its zone that keep to an upstream: each then weighs a twentieth there
 GOLDEN = 0.6180339887   # spreads any count of numbers evenly over a circle
 VISITS = 16             # upstreams looked at for one choice at most: work does not grow with the fleet
 ROOM = 0.6              # an upstream takes one more while this much of the time left is expected to do for it
@@ -407,8 +407,9 @@
         zone.ready = len(ups)
         if not self.keeps:
             return
-        number = ceil(COVER * len(ups) * len(self.zones) / self.sidecars)
-        number = max(PART, number) if zone is self.zones[self.own] else max(2, ceil(number / 2))
+        near = zone is self.zones[self.own]
+        number = COVER * len(ups) * len(self.zones) / self.sidecars
+        number = max(PART, ceil(number)) if near else max(1, ceil(number / 2 / len(self.zones)))
         zone.part, reach = set(ups), 0.0
         if number < len(ups):
             ups.sort(key=lambda up: up.mark)
