--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -82,6 +82,7 @@
         try:
             self.balancer = Balancer(event["conf"], event["prng"], now)
             self.methods, self.zones = len(event["conf"]["methods"]), len(event["conf"]["zones"])
+            self.tenants = max(1, len(event["conf"].get("customers", ())))
         except KeyError as missing:
             raise BadInputError("conf", f"setting {missing} is missing") from missing
         except (TypeError, ValueError, IndexError, AttributeError) as wrong:
@@ -125,7 +126,7 @@
             raise BadInputError("txn", f"{txn} was submitted before")
         rpc = self.rpcs[txn] = self.balancer.take(
             now, index_below(event, "profile", self.methods), floor(event["not_after"] * 10),
-            bool(optional(event, "options", (int,), 0) & RETRY), txn)
+            bool(optional(event, "options", (int,), 0) & RETRY), txn, index_below(event, "project", self.tenants))
         self.answer_for(rpc, now, out)
 
     def answer(self, event: dict, now: int, lists: dict, out: list) -> None:
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -6,7 +6,7 @@
   b.doubted(now, upstreams, ends, last)   rows of an older source than discovery: how far to trust them
   b.export(now), b.restore(now, state, age)   what was learnt, as plain data, and its return after a restart
   b.list_failed(now)                      the call for the list failed, or the subscription broke
-  rpc = b.take(now, method, give_up_at, retry, tag)  a handle; rpc.decide(now) then says what to do with it:
+  rpc = b.take(now, method, give_up_at, retry, tag, tenant)  a handle; rpc.decide(now) then says what to do with it:
       None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
   rpc.ended(now, tx, outcome, took, settled, fresh)   fresh: first on its connection; returns what to stop
   rpc.started(lasting)                    a streamed answer has begun; lasting: a stream is open, and held
@@ -52,6 +52,7 @@
 LATE = 0.7              # of the soft deadline: slower ends count as late
 ASKING = 0.05           # of the soft deadline: so long an upstream that is asked may take to answer
 ASKED = 4               # upstreams asked before an RPC is exhausted: so many that do not answer tell enough
+SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance alone seldom brings more
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -120,11 +121,11 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned", "luck", "asked", "answered", "ask_until",
+                 "again_at", "held", "done", "turned", "luck", "payoff", "asked", "answered", "ask_until",
                  "asking", "least", "lasting")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
-                 tag: object) -> None:
+                 tag: object, worth: float) -> None:
         self.home, self.method, self.tag = home, method, tag
         # Guards against work for nobody: a marked retry that the hard deadline cuts short tells when its
         # first try came, and the soft deadline runs from there.
@@ -139,7 +140,8 @@
         self.repeats, self.again_at, self.held, self.done = 0, None, None, False
         self.lasting = False    # a stream that is open
         self.turned = False     # overtaken while held, to be answered at once
-        self.luck = home.draw(method)
+        self.payoff = method.payoff * worth
+        self.luck = home.draw(self.payoff)
         # Upstreams asked on its behalf, the one that answered first, how long that is waited for.
         self.asked, self.answered, self.asking, self.ask_until, self.least = [], None, None, 0, None
 
@@ -300,6 +302,10 @@
         self.nominal: dict[int, float] = {}     # by kind: the size of an idle one, where sizes move with load
         self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
         self.fall_multiple = rules["fall_multiple"]
+        # By tenant: the RPCs within MEMORY that are its share here, as all sidecars get alike, and those seen.
+        self.shares = [SPARE_SHARE * tenant["allowance_per_s"] * MEMORY / SECOND / self.sidecars + 3
+                       for tenant in settings.get("customers", ())]
+        self.seen, self.excess = [(0.0, now)] * len(self.shares), settings.get("excess_payoff", 1.0)
         top = max((m["payoff"] for m in settings["methods"]), default=1)
         self.mean_payoff = sum(m["payoff"] for m in settings["methods"]) / len(settings["methods"]) or 1.0
         self.methods = [Method(m, top, self.most) for m in settings["methods"]]
@@ -328,13 +334,13 @@
         self.sums, self.stamp = [1.0, 2.0, soft, 4.0, 2 * soft], now
         self.fit()
 
-    def draw(self, method: Method) -> float:
+    def draw(self, payoff: float) -> float:
         """What a window holds back is rather the cheap: from 0 to 1, rather low for the dear."""
-        return self.chance() ** (method.payoff / self.mean_payoff)
+        return self.chance() ** (payoff / self.mean_payoff)
 
     def luck(self, method: int) -> float:
         """The same for gates before the decisions, which give up by it as windows do."""
-        return self.draw(self.methods[method])
+        return self.draw(self.methods[method].payoff)
 
     # --- the list of upstreams
 
@@ -768,7 +774,7 @@
             return False
         typical = self.typical()
         last = int(rpc.soft_end - typical)
-        place = (-rpc.method.payoff, self.count(), last, rpc)
+        place = (-rpc.payoff, self.count(), last, rpc)
         ahead = bisect_left(self.held, place) + 1
         # What is overtaken is told at once rather than left to sit until its time is up.
         pace = WAIT * self.flight / typical
@@ -797,10 +803,21 @@
 
     # --- calls of the adapter
 
-    def take(self, now: int, method: int, give_up_at: int, retry: bool = False, tag: object = None) -> Rpc:
+    def take(self, now: int, method: int, give_up_at: int, retry: bool = False, tag: object = None,
+             tenant: int = 0) -> Rpc:
         # One further transmission for ten RPCs: enough for single faults, too little for a storm.
         self.spare = min(10.0, self.spare + 0.1)
-        return Rpc(self, self.methods[method], now, give_up_at, retry, tag)
+        return Rpc(self, self.methods[method], now, give_up_at, retry, tag, self.worth(now, tenant))
+
+    def worth(self, now: int, tenant: int) -> float:
+        """The part of its payoff that one more RPC of this tenant brings: beyond its share, little."""
+        if tenant >= len(self.shares):
+            return 1.0
+        seen, at = self.seen[tenant]
+        seen = seen * exp((at - now) / MEMORY) + 1
+        self.seen[tenant] = seen, now
+        part = min(1.0, self.shares[tenant] / seen)
+        return part + (1 - part) * self.excess
 
     def due(self, now: int):
         """Yields the handles that should be asked again, each before the next is looked for."""
