--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -1,5 +1,4 @@
 """The batch protocol on a pair of byte streams."""
-from base64 import b64decode, b64encode
 from math import ceil, floor, inf
 from typing import BinaryIO
 
@@ -83,6 +82,7 @@
         try:
             self.balancer = Balancer(event["conf"], event["prng"], now)
             self.methods, self.zones = len(event["conf"]["methods"]), len(event["conf"]["zones"])
+            self.tenants = max(1, len(event["conf"].get("customers", ())))
         except KeyError as missing:
             raise BadInputError("conf", f"setting {missing} is missing") from missing
         except (TypeError, ValueError, IndexError, AttributeError) as wrong:
@@ -126,7 +126,7 @@
             raise BadInputError("txn", f"{txn} was submitted before")
         rpc = self.rpcs[txn] = self.balancer.take(
             now, index_below(event, "profile", self.methods), floor(event["not_after"] * 10),
-            bool(optional(event, "options", (int,), 0) & RETRY), txn)
+            bool(optional(event, "options", (int,), 0) & RETRY), txn, index_below(event, "project", self.tenants))
         self.answer_for(rpc, now, out)
 
     def answer(self, event: dict, now: int, lists: dict, out: list) -> None:
@@ -166,11 +166,7 @@
         self.rpc(event).started()
 
     def inbox(self, event: dict, now: int, lists: dict, out: list) -> None:
-        try:
-            contents = b64decode(optional(event, "contents", (str,), ""), validate=True)
-        except ValueError as wrong:
-            raise BadInputError("contents", f"not base64 ({wrong})") from wrong
-        self.balancer.heard(now, event["who"], contents)
+        """Sidecars tell each other nothing: what an older build told is of no use."""
 
     # --- answers
 
@@ -204,9 +200,6 @@
             self.say(out, "follow", active=True)
         for index in balancer.released():
             self.upstreams.release(index)
-        told = balancer.tells(now)
-        if told is not None:
-            self.say(out, "write_peer", target=None, contents=b64encode(told).decode())
         wake = balancer.wake_at()
         if wake < self.armed:
             self.armed = wake
