Asking upstreams is gone: no deployment left uses it; tests and capture follow the module

Change: ask, probes, probed and their constants out; capture's state is version 2, older captures replay from their begin; saved states with 'late' are still read.

--- a/shedgrade/benchlink/wire.py
+++ b/shedgrade/benchlink/wire.py
@@ -126,7 +126,8 @@
             raise BadInputError("txn", f"{txn} was submitted before")
         rpc = self.rpcs[txn] = self.balancer.take(
             now, index_below(event, "profile", self.methods), floor(event["not_after"] * 10),
-            bool(optional(event, "options", (int,), 0) & RETRY), txn, index_below(event, "project", self.tenants))
+            bool(optional(event, "options", (int,), 0) & RETRY), txn,
+            index_below(event, "project", self.tenants))
         self.answer_for(rpc, now, out)
 
     def answer(self, event: dict, now: int, lists: dict, out: list) -> None:
@@ -149,18 +150,8 @@
         self.armed = inf
 
     def echo(self, event: dict, now: int, lists: dict, out: list) -> None:
-        index, outcome = self.upstreams.by_id.get(event["upstream"]), OUTCOMES.get(event["how"])
-        if index is None or not self.balancer.waiting.get(index):
-            raise BadInputError("upstream", f"{event['upstream']!r} was not polled")
-        if outcome is None:
-            raise BadInputError("how", f"{event['how']!r} is unknown")
-        gauge = optional(event, "gauge", (dict,), {})
-        load = optional(gauge, "busy_reqs", NUMBER, optional(gauge, "pending", NUMBER, None))
-        if load is not None:
-            load = (load + 1) * optional(gauge, "svc_ms", NUMBER, 1.0)
-        rpc = self.balancer.probed(now, index, outcome, load)
-        if rpc is not None:
-            self.answer_for(rpc, now, out)
+        """Upstreams are never polled: an echo answers nothing."""
+        raise BadInputError("upstream", f"{event['upstream']!r} was not polled")
 
     def accepted(self, event: dict, now: int, lists: dict, out: list) -> None:
         self.rpc(event).started()
@@ -194,8 +185,6 @@
         balancer = self.balancer
         for rpc in balancer.due(now):
             self.answer_for(rpc, now, out)
-        for upstream in balancer.probes():
-            self.say(out, "poll", upstream=self.upstreams.ids[upstream])
         if balancer.wants_list(now):
             self.say(out, "follow", active=True)
         for index in balancer.released():
--- a/shedgrade/capture/recorder.py
+++ b/shedgrade/capture/recorder.py
@@ -215,8 +215,16 @@
     def ups(self) -> dict:
         return self.inner.ups
 
-    def take(self, now: int, method: int, give_up_at: int, retry: bool = False, tag: object = None) -> Handle:
-        rpc = self.inner.take(now, method, give_up_at, retry, tag)
+    def take(
+        self,
+        now: int,
+        method: int,
+        give_up_at: int,
+        retry: bool = False,
+        tag: object = None,
+        tenant: int = 0,
+    ) -> Handle:
+        rpc = self.inner.take(now, method, give_up_at, retry, tag, tenant)
         self.numbers += 1
         name = tag.request.name if self.ids != "none" else b""
         self.keep(
@@ -227,6 +235,7 @@
             give_up_at - now,
             retry,
             short(name) if self.ids == "hash" else name,
+            tenant,
         )
         self.live[self.numbers] = rpc
         return Handle(self, rpc, self.numbers)
@@ -254,7 +263,7 @@
     def due(self, now: int):
         inner = self.inner
         at = inner.wake_at()
-        if at > now and not inner.held and not inner.told:
+        if at > now and not inner.held:
             return ()  # nothing is looked at there, either
         return self.told_due(now, at)
 
--- a/shedgrade/capture/replay.py
+++ b/shedgrade/capture/replay.py
@@ -153,8 +153,8 @@
         """(what came out then, what comes out now)."""
         balancer, op, told = self.balancer, row[0], row[2:]
         if op == TAKE:
-            number, method, wait, retry, _ = told
-            self.rpcs[number] = balancer.take(now, method, now + wait, retry, number)
+            number, method, wait, retry, _, *tenant = told  # captures before the tenant end with the name
+            self.rpcs[number] = balancer.take(now, method, now + wait, retry, number, *tenant)
             return None, None
         if op == DECIDE:
             answer = self.rpc(told[0]).decide(now)
--- a/shedgrade/capture/rows.py
+++ b/shedgrade/capture/rows.py
@@ -38,7 +38,7 @@
     RELEASED,
 ) = range(16)
 OPS = {
-    TAKE: ("take", "rpc method give_up_at retry name"),
+    TAKE: ("take", "rpc method give_up_at retry name tenant"),
     DECIDE: ("decide", "rpc what value"),
     NOTHING: ("decide", "rpc"),
     ENDED: ("ended", "rpc tx outcome took settled fresh stops"),
--- a/shedgrade/capture/state.py
+++ b/shedgrade/capture/state.py
@@ -13,6 +13,7 @@
 from random import Random
 from types import ModuleType
 
+VERSION = 2  # of the decisions' fields: what was frozen of others can't be gone on with
 CLASSES = ("Upstream", "Zone", "Method", "Rpc")
 DRAWS = {"chance": "random", "span": "uniform", "pick": "choices"}  # the balancer's draws from its one Random
 
@@ -81,7 +82,7 @@
     for rpc in rpcs:
         place(rpc)
     version, words, gauss = balancer.chance.__self__.getstate()
-    return {"v": 1, "balancer": told, "rows": rows, "random": [version, list(words), gauss]}
+    return {"v": VERSION, "balancer": told, "rows": rows, "random": [version, list(words), gauss]}
 
 
 def thaw(state: dict, module: ModuleType, kind: type | None = None) -> tuple[object, dict[int, object]]:
@@ -93,7 +94,7 @@
 
 
 def put_back(state: dict, module: ModuleType, kind: type) -> tuple[object, dict[int, object]]:
-    if state["v"] != 1:
+    if state["v"] != VERSION:
         raise StateError(f"state of version {state['v']}")
     made = []
     for name, _ in state["rows"]:
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -6,14 +6,12 @@
   b.doubted(now, upstreams, ends, last)   rows of an older source than discovery: how far to trust them
   b.export(now), b.restore(now, state, age)   what was learnt, as plain data, and its return after a restart
   b.list_failed(now)                      the call for the list failed, or the subscription broke
-  rpc = b.take(now, method, give_up_at, retry, tag, tenant)  a handle; rpc.decide(now) then says what to do with it:
+  rpc = b.take(now, method, give_up_at, retry, tag, tenant)  a handle; rpc.decide(now) then says what to do:
       None: nothing now.  (upstream, limit): transmit.  (EXHAUSTED, retry_after), (ERRORED, 0): final.
   rpc.ended(now, tx, outcome, took, settled, fresh)   fresh: first on its connection; returns what to stop
   rpc.started(lasting)                    a streamed answer has begun; lasting: a stream is open, and held
   rpc.gone(now)                           the client has left
   b.due(now)                              yields the handles to ask again; b.wake_at() says when to call next
-  b.probes()                              upstreams to be asked now; b.probed(now, upstream, outcome, load)
-                                          takes how one ended, returns the handle to ask again or None
   b.wants_list(now)                       True: subscribe to the list of upstreams now
   b.luck(method)                          a draw by which a gate before the decisions gives up the cheap first
   b.released()                            upstreams that are forgotten: their indices are free
@@ -49,10 +47,7 @@
 WAIT = 0.5              # of the pace at which transmissions end is counted on: most waits end well
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
-LATE = 0.7              # of the soft deadline: slower ends count as late
-ASKING = 0.05           # of the soft deadline: so long an upstream that is asked may take to answer
-ASKED = 4               # upstreams asked before an RPC is exhausted: so many that do not answer tell enough
-SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance alone seldom brings more
+SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -61,7 +56,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "load", "doubt", "held", "crowd")
+                 "cold_turns", "cold_stamp", "doubt", "held", "crowd")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -88,7 +83,8 @@
 
 class Zone:
     """The rotation of one zone: `ring`, of its `ready` upstreams, or of the `part` this sidecar keeps to."""
-    __slots__ = ("ring", "ready", "part", "turn", "flight", "window", "usual", "last_end", "read", "held", "moved")
+    __slots__ = ("ring", "ready", "part", "turn", "flight", "window", "usual", "last_end", "read", "held",
+                 "moved")
 
     def __init__(self, turn: float) -> None:
         self.ring, self.turn, self.flight, self.window, self.usual = [], turn, 0, inf, 0.0
@@ -121,8 +117,7 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned", "luck", "payoff", "asked", "answered", "ask_until",
-                 "asking", "least", "lasting")
+                 "again_at", "held", "done", "turned", "luck", "payoff", "lasting")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object, worth: float) -> None:
@@ -142,8 +137,6 @@
         self.turned = False     # overtaken while held, to be answered at once
         self.payoff = method.payoff * worth
         self.luck = home.draw(self.payoff)
-        # Upstreams asked on its behalf, the one that answered first, how long that is waited for.
-        self.asked, self.answered, self.asking, self.ask_until, self.least = [], None, None, 0, None
 
     def first_run(self) -> int | None:
         """The first transmission that may have run, those still out included."""
@@ -173,31 +166,13 @@
         """No more answers; returns the transmissions still out, which nobody waits for any longer."""
         self.done = True
         self.home.unhold(self)
-        self.stop_asking()
         return list(self.out) if self.home.cancelling else []
 
-    def stop_asking(self) -> None:
-        if self.asking is not None:
-            self.asking.flight -= 1
-            self.home.flight -= 1
-            self.asking = None
-
     def decide(self, now: int) -> tuple[int, int] | None:
         home, method = self.home, self.method
         if self.done or (self.out and not (self.again_at is not None and now >= self.again_at)):
             return None
         repeat = self.first_run() is not None
-        if self.asking is not None:
-            up, self.answered = self.answered, None
-            if up is None and now < self.ask_until:
-                return None
-            self.stop_asking()
-            if up is None and len(self.asked) >= ASKED:
-                up = self.least
-            if up and up.listed and not up.aside_until and self.allowed(up, now) and now < self.end:
-                return self.transmit(now, up, repeat)
-            if len(self.asked) >= ASKED:
-                return self.final(now)
         self.again_at = None
         if now >= self.end or len(self.tries) >= home.most or (
                 repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
@@ -214,8 +189,6 @@
                 return None
             up = home.choose(now, self, False)
         if up is not None:
-            if home.ask(now, self, up):
-                return None
             return self.transmit(now, up, repeat)
         if self.out or home.hold(now, self, now):
             return None
@@ -259,8 +232,6 @@
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
             elif over < 0 and zone.flight + 1 >= zone.window:
                 zone.window *= max(GROW if zone.window > 1 else 1.0, exp(-STEP * over * gain))
-            late = outcome == TIMED_OUT or took > LATE * self.method.soft
-            home.late += (late - home.late) / max(10.0, min(ENOUGH, home.sums[0]))
         home.learn(now, up, outcome, took, crowd, fresh)
         home.release(up)
         if outcome in NEVER_RAN:
@@ -302,7 +273,7 @@
         self.nominal: dict[int, float] = {}     # by kind: the size of an idle one, where sizes move with load
         self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
         self.fall_multiple = rules["fall_multiple"]
-        # By tenant: the RPCs within MEMORY that are its share here, as all sidecars get alike, and those seen.
+        # By tenant: RPCs within MEMORY that are its share here, as all sidecars get alike, and those seen.
         self.shares = [SPARE_SHARE * tenant["allowance_per_s"] * MEMORY / SECOND / self.sidecars + 3
                        for tenant in settings.get("customers", ())]
         self.seen, self.excess = [(0.0, now)] * len(self.shares), settings.get("excess_payoff", 1.0)
@@ -321,12 +292,6 @@
         self.cross_price = settings["prices"].get("cross_zone", 0.0)
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.count, self.flight, self.spare = [], [], count().__next__, 0, 5.0
-        # Where every answer brings a report, or the list tells load, asking adds nothing worth its price.
-        told = self.live or settings["report"]["via"] == "inline"
-        self.probe_price = settings["prices"].get("probe", 0.0) if limits["probes"] and not told else None
-        self.late, self.questions = 0.05, []    # the share of late ends, at first believed; whom to ask now
-        self.reports, self.load = settings["report"]["via"] != "off", 0.0     # and the mean load reported
-        self.waiting: dict[int, list] = {}      # by upstream: the RPCs that wait for its answers, in order
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
         # Until something is seen, an upstream is believed to finish two at once in the room there is.
         soft = ROOM * (min(m.soft for m in self.methods) - self.slack)
@@ -416,7 +381,7 @@
         near = zone is self.zones[self.own]
         number = COVER * len(ups) * len(self.zones) / self.sidecars
         number = max(PART, ceil(number)) if near else max(1, ceil(number / 2 / len(self.zones)))
-        zone.part, reach = set(ups), 0.0
+        zone.part, reach = list(ups), 0.0
         if number < len(ups):
             ups.sort(key=lambda up: up.mark)
             total = sum(up.size for up in ups)
@@ -432,9 +397,9 @@
     def release(self, up: Upstream) -> None:
         """What is gone with nothing out leaves memory: its index may be another's, which inherits nothing."""
         index = up.index
-        busy = up.flight or up.held or self.waiting.get(index)
+        busy = up.flight or up.held
         if up.state == REMOVED and not busy and self.ups.get(index) is up:
-            for kept in (self.ups, self.waiting, self.latent):
+            for kept in (self.ups, self.latent):
                 kept.pop(index, None)
             self.left.append(index)
 
@@ -465,7 +430,7 @@
 
     def export(self, now: int) -> dict:
         """What was learnt, by index, for `restore` after a restart. Its form is versioned: `v`."""
-        return {"v": 1, "sums": self.sums, "memory": self.memory, "late": self.late,
+        return {"v": 1, "sums": self.sums, "memory": self.memory,
                 "kinds": [[kind, took, alike] for kind, (took, alike, _) in self.kinds.items()],
                 "windows": [None if zone.window == inf else zone.window for zone in self.zones],
                 "ups": [[up.index, up.took, up.foreseen, up.good, up.bad, (now - up.stamp) / SECOND]
@@ -479,7 +444,7 @@
         keep = exp(-age * SECOND / LONGEST)
         part = max(keep, 1 / max(1.0, state["sums"][0]))    # one end's worth stays: better than a belief
         self.sums, self.stamp = [total * part for total in state["sums"]], now
-        self.memory, self.late = state["memory"], self.late + (state["late"] - self.late) * keep
+        self.memory = state["memory"]
         self.kinds = {kind: [took * keep, alike * keep, now] for kind, took, alike in state["kinds"]}
         self.fit()
         for zone, window in zip(self.zones, state["windows"], strict=True):
@@ -526,9 +491,6 @@
                     worst, most = zone, load
         if worst is not None and len(open_zones) > 1:
             open_zones.remove(worst)
-        if rpc.asked and len(open_zones) > 1:
-            # Where none of those asked had an answer, the zone counts as full for this RPC.
-            open_zones = [zone for zone in open_zones if zone is not self.zones[rpc.asked[-1].zone]]
         own = self.zones[self.own]
         left = rpc.soft_end - now if not rpc.method.late else rpc.end - now
         if own in open_zones:
@@ -540,7 +502,8 @@
             open_zones.remove(own)
         # A zone without room is left out and the draw repeated.
         while open_zones:
-            zone = self.pick(open_zones, [zone.ready if self.keeps else len(zone.ring) for zone in open_zones])[0]
+            sizes = [zone.ready if self.keeps else len(zone.ring) for zone in open_zones]
+            zone = self.pick(open_zones, sizes)[0]
             up = self.rotate(zone, now, rpc, left)
             if up is not None:
                 return up
@@ -563,7 +526,7 @@
         over = None
         for step in range(min(size, VISITS)):
             up = ring[(start + step) % size]
-            if up in rpc.tries or up in rpc.asked or not rpc.allowed(up, now):
+            if up in rpc.tries or not rpc.allowed(up, now):
                 continue
             expected = self.expected(up, now)
             zone.usual += (expected - zone.usual) / size if zone.usual else expected
@@ -656,62 +619,6 @@
                 best = up
         return best and self.chosen(best, now)
 
-    # --- asking upstreams, where they may be asked
-
-    def ask(self, now: int, rpc: Rpc, up: Upstream) -> bool:
-        """Guards against what a light sidecar cannot know: the next two in rotation are asked, the first to
-        answer is taken. Acts where late ends cost more than asking does, and for one that returns."""
-        if self.probe_price is None or rpc.out or now + self.typical() / 2 > rpc.soft_end:
-            return False
-        # A balancer that sees an end at each upstream within MEMORY knows enough of them. Where they tell
-        # their load, one at a time is asked.
-        known = self.sums[0] * MEMORY >= self.ready * self.memory
-        if not up.trial and (known or self.late <= self.probe_price * (1 if self.reports else 2)):
-            return False
-        rpc.asking = zone = self.zones[up.zone]
-        while up is not None:
-            rpc.asked.append(up)
-            self.waiting.setdefault(up.index, []).append(rpc)
-            self.questions.append(up.index)
-            both = self.reports or len(rpc.asked) % 2 == 0
-            up = None if both else self.rotate(zone, now, rpc, rpc.soft_end - now)
-        # It counts as in flight meanwhile, or a crowd would get in past the window.
-        zone.flight += 1
-        self.flight += 1
-        self.unhold(rpc)
-        rpc.ask_until = min(rpc.end, now + int(ASKING * rpc.method.soft))
-        heappush(self.alarms, (rpc.ask_until, self.count(), rpc))
-        return True
-
-    def probes(self) -> list[int]:
-        questions, self.questions = self.questions, []
-        return questions
-
-    def probed(self, now: int, upstream: int, outcome: int, load: float | None = None) -> Rpc | None:
-        """An upstream has answered or failed to; returns the handle to ask again, if any waits for it."""
-        up, rpc = self.ups[upstream], self.waiting[upstream].pop(0)
-        self.release(up)
-        if outcome == UNCONNECTED:
-            self.set_aside(now, up, True)
-        if outcome != COMPLETED:
-            return None
-        up.trial = False
-        if up.aside_until:
-            self.back(up)
-        if load is not None:
-            self.load += (load - self.load) / 16 if self.load else load
-        if rpc.done or rpc.asking is None:
-            return None
-        # What tells that it is above the mean is passed over, as by own counts.
-        if load is None or load <= self.load:
-            rpc.answered = up
-        else:
-            rpc.ask_until = now
-            up.load = load
-            if rpc.least is None or load < rpc.least.load:
-                rpc.least = up
-        return rpc
-
     # --- is an upstream well
 
     def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int, fresh: bool) -> None:
--- a/shedgrade/saved/learnt.py
+++ b/shedgrade/saved/learnt.py
@@ -17,12 +17,12 @@
     v: int
     sums: list[float]
     memory: float
-    late: float
     kinds: list[tuple[int, float, float]]
     windows: list[float | None]
     ups: list[tuple[str, float, float, float, float, float]]
     zones: list[str]
     shapes: list[str]
+    late: float = 0.0  # of older files: no longer used
 
 
 def to_disk(state: dict, ids: list[str], zones: list[str], shapes: list[str]) -> dict:
@@ -67,7 +67,6 @@
         "v": 1,
         "sums": told.sums,
         "memory": told.memory,
-        "late": told.late,
         "kinds": told.kinds,
         "windows": told.windows,
         "ups": [(known[name], *rest) for name, *rest in told.ups if name in known],
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -141,64 +141,6 @@
     assert b.zones[0].window > 0.9
 
 
-def asking(**more):
-    conf = settings(limits={"probes": True}, prices={"probe": 0.01}, balancers=100, **more)
-    return balancer(conf, [(up, up // 8) for up in range(16)])
-
-
-def test_a_light_balancer_asks_the_next_two_and_sends_to_the_first_that_answers():
-    b = asking(zones=2)
-    b.late, b.sums[0] = 0.1, 1.0
-    rpc, answer = send(b)
-    first, second = b.probes()
-    assert answer is None and b.zones[0].flight == 1 and b.probed(5, first, decide.TIMED_OUT) is None
-    assert b.probed(9, second, decide.COMPLETED) is rpc and rpc.decide(9)[0] == second
-    assert b.zones[0].flight == 1 and b.ups[second].flight == 1
-
-
-def test_where_none_of_those_asked_answers_another_zone_is_asked_and_then_it_is_given_up():
-    b = asking(zones=2)
-    b.late, b.sums[0] = 0.1, 1.0
-    rpc, _ = send(b)
-    asked = b.probes()
-    at = b.wake_at()
-    assert [r.decide(at) for r in b.due(at)] == [None] and {up // 8 for up in asked} == {0}
-    assert {up // 8 for up in b.probes()} == {1}
-    at = b.wake_at()
-    assert [r.decide(at)[0] for r in b.due(at)] == [decide.EXHAUSTED] and b.flight == 0
-
-
-def test_nothing_is_asked_where_ends_are_good_or_often_seen():
-    b = asking(zones=2)
-    b.late, b.sums[0] = 0.0, 1.0
-    assert send(b)[1][0] >= 0 and b.probes() == []
-    b.late, b.sums[0], b.zones[0].window = 0.5, 100.0, 9.0
-    assert send(b)[1][0] >= 0 and b.probes() == []
-
-
-def test_an_upstream_that_tells_a_load_above_the_mean_is_passed_over_for_the_next():
-    b = asking(zones=2, report={"fields": ["busy_reqs"], "via": "on_probe"})
-    b.late, b.sums[0], b.load = 0.1, 1.0, 4.0
-    rpc, _ = send(b)
-    (first,) = b.probes()
-    assert b.probed(5, first, decide.COMPLETED, 20.0) is rpc and rpc.decide(5) is None
-    (second,) = b.probes()
-    assert b.probed(9, second, decide.COMPLETED, 2.0) is rpc and rpc.decide(9)[0] == second != first
-
-
-def test_counts_told_by_others_take_room_and_are_forgotten():
-    b = balancer(settings(limits={"may_tell": True}, prices={"peer": 0.01}, balancers=2), [(0, 0), (7, 0)])
-    other = balancer(settings(limits={"may_tell": True}, prices={"peer": 0.01}, balancers=2), [(3, 0)])
-    other.ups[3].mark = 7
-    other.ups[3].flight, other.credit = 5, 1.0
-    b.heard(0, 1, other.tells(0))
-    assert b.ups[7].others == 5 and b.ups[0].others == 0
-    b.heard(1, 1, b"\0")
-    assert b.ups[7].others == 0
-    b.heard(2, 1, other.tells(2) or b"\x07\0\0\0\x05")
-    assert list(b.due(30000)) == [] and b.ups[7].others == 0
-
-
 def test_a_failed_call_for_the_list_is_repeated_within_what_is_allowed():
     b = decide.Balancer(settings(membership_mode="on_request"), 1, 0)
     now, asked = 0, []
@@ -259,16 +201,6 @@
     assert [r.decide(at) for r in b.due(at)] == [None]
 
 
-def test_the_last_resort_is_asked_first_even_where_no_other_is_in_rotation():
-    conf = settings(limits={"probes": True}, prices={"probe": 0.01}, balancers=100)
-    b = balancer(conf, ONE)
-    b.set_aside(0, b.ups[0], True)
-    rpc, answer = send(b)
-    assert answer is None and b.probes() == [0]
-    assert b.probed(5, 0, decide.COMPLETED) is rpc and rpc.decide(5)[0] == 0
-    assert list(b.due(40000)) == [rpc] and b.zones[0].ring == [b.ups[0]] and b.aside == 0
-
-
 def test_what_is_gone_with_nothing_out_is_forgotten_and_its_index_inherits_nothing():
     b = balancer(settings([method("once", soft=5000.0, hard=5000.0)]), [(0, 0), (1, 0)])
     rpc = b.take(0, 0, 40000)
@@ -279,7 +211,7 @@
     rpc.ended(2, 0, decide.COMPLETED, 2, True)
     assert b.released() == [up] and list(b.ups) == [1 - up] and b.zones[0].flight == 0
     b.list_changed(3, [row(up)], True, True)        # whole: the other is gone, and this one is a new one
-    assert b.released() == [1 - up] and list(b.ups) == [up] == list(b.marks) and b.ups[up].bad == 0
+    assert b.released() == [1 - up] and list(b.ups) == [up] and b.ups[up].bad == 0
     b.list_changed(4, [row(up, state=decide.REMOVED), row(up), row(9, state=decide.REMOVED)], False, True)
     assert b.released() == [9] and b.zones[0].ring == [b.ups[up]] and b.ready == 1
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -425,11 +425,11 @@
             kept.append((len(sidecar.pool.reader.told), len(sidecar.pool.reader.indices.ids),
             len(sidecar.pool.balancer.ups),
                          len(sidecar.pool.reader.addresses.known), len(sidecar.pool.caller.heard),
-                         len(sidecar.pool.caller.idle.by_upstream), len(sidecar.pool.balancer.marks)))
+                         len(sidecar.pool.caller.idle.by_upstream)))
             told = {"instanceId": f"new-{number}" if number else "s-0", "lifecycle": "terminated"}
             await world.tell(told, {**world.entry(0), "instanceId": f"new-{number + 1}"})
             assert not sidecar.pool.caller.idle
-        assert kept[1:] == [(1, 2, 1, 1, 1, 1, 1)] * 5 and world.upstreams[0].connections == 6
+        assert kept[1:] == [(1, 2, 1, 1, 1, 1)] * 5 and world.upstreams[0].connections == 6
 
 
 @on_sockets
