--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -60,7 +60,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "load", "doubt", "held", "crowd", "spells")
+                 "cold_turns", "cold_stamp", "load", "doubt", "held", "crowd")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -76,7 +76,7 @@
         """Health of an earlier process says nothing of the next one."""
         self.took = self.foreseen = self.good = self.bad = 0.0
         self.stamp = self.aside_until = self.cold_stamp = 0
-        self.trial, self.spells = False, 0
+        self.trial = False
 
     def fade(self, now: int, memory: float) -> None:
         if now > self.stamp:
@@ -732,7 +732,7 @@
             self.fit()
         if outcome == COMPLETED:
             up.good += 1
-            up.trial, up.spells = up.doubt > 0, up.spells if up.good < 3 else 0
+            up.trial = up.doubt > 0
         elif outcome in (FAILED, TIMED_OUT, DROPPED, BROKEN):
             up.bad += 0.5 if fresh and outcome == TIMED_OUT else 1.0
         # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that
@@ -746,8 +746,7 @@
         # Guards against a fault of our own side, or of all at once: at most half is set aside on suspicion.
         if not certain and 2 * (self.aside + 1) > self.ready:
             return
-        up.aside_until = now + int(self.span(2, 3) * SECOND * min(4, 1 << up.spells))
-        up.spells += 1
+        up.aside_until = now + int(self.span(2, 3) * SECOND)
         up.trial, up.good, up.bad = True, 0.0, 0.0
         self.aside += 1
         self.rotation(up, False)
