Last resort keeps to the part; fewer other zones where sidecars are many

The last resort went over all upstreams, each time a new connection, so all tables were full (last_resort), and each sidecar kept one upstream in each of three other zones (deal). Change: last_resort within the part; other zones kept by the number of upstreams a sidecar.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -369,6 +369,10 @@
         if zone is not None and (up in zone.ring) != (wanted and (zone.part is None or up in zone.part)):
             (zone.ring.append if wanted else zone.ring.remove)(up)
 
+    def kept(self, up: Upstream) -> bool:
+        part = self.zones[up.zone].part
+        return part is None or up in part
+
     def deal(self, zone: Zone) -> None:
         """Guards against hundreds of sidecars with a connection each to every upstream: connections cost it
         work, and it accepts so many. A part of the zone, even over all by size, by this sidecar's number;
@@ -381,6 +385,12 @@
         near = zone is self.zones[self.own]
         number = COVER * len(ups) * len(self.zones) / self.sidecars
         number = max(PART, ceil(number)) if near else max(1, ceil(number / 2 / len(self.zones)))
+        others = [place for place in self.zones if place is not self.zones[self.own]]
+        if not near and len(others) > 1:
+            # Fewer other zones, one at least, where sidecars are many: next ones on a circle by its number.
+            most = max(1, round(COVER * self.ready / self.sidecars))
+            if (others.index(zone) - int(self.place * len(others))) % len(others) >= most:
+                number = 0
         zone.part, reach = list(ups), 0.0
         if number < len(ups):
             ups.sort(key=lambda up: up.mark)
@@ -613,7 +623,7 @@
         start = int(self.chance() * len(ups))
         # From a random place, or all balancers would fall on the same one.
         for up in ups[start:] + ups[:start]:
-            if up.listed and not up.flight and up not in rpc.tries and rpc.allowed(up, now) and (
+            if up.listed and not up.flight and self.kept(up) and up not in rpc.tries and rpc.allowed(up, now) and (
                     best is None or up.aside_until < best.aside_until) and (
                     not self.is_cold(up, now) or self.cold_room(up, now)):
                 best = up
