What the list tells of a zone cuts its window past the soft deadline

The list tells what every upstream holds. Change: Zone.full cuts the window by soft deadline over the time foreseen at the zone's mean told crowd.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -84,17 +84,21 @@
 class Zone:
     """The rotation of one zone: `ring`, of its `ready` upstreams, or of the `part` this sidecar keeps to."""
     __slots__ = ("ring", "ready", "part", "turn", "flight", "window", "usual", "last_end", "read", "held",
-                 "moved")
+                 "moved", "crowd")
 
     def __init__(self, turn: float) -> None:
         self.ring, self.turn, self.flight, self.window, self.usual = [], turn, 0, inf, 0.0
         self.ready, self.part = 0, None
         self.last_end = self.read = self.held = 0
-        self.moved = False
+        self.moved, self.crowd = False, 0.0     # crowd: the mean that the list tells of its upstreams
 
     def full(self, rpc: "Rpc") -> bool:
-        """A window between two counts admits that part of the RPCs, each by its own luck."""
-        return self.flight + rpc.luck >= self.window
+        """A window between two counts admits that part of the RPCs, each by its own luck; what the list tells
+        is held there cuts it, where the time foreseen at the mean passes the soft deadline."""
+        window = self.window
+        if self.crowd:
+            window *= min(1.0, rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd)))
+        return self.flight + rpc.luck >= window
 
 
 class Method:
@@ -338,6 +342,9 @@
         for zone in self.zones:
             if zone.moved:
                 self.deal(zone)
+            if self.live and zone.ready:
+                held = [up.crowd for up in self.ups.values() if up.listed and self.zones[up.zone] is zone]
+                zone.crowd = sum(held) / zone.ready
             if zone.window == inf and zone.ring:
                 zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
