--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -230,8 +230,7 @@
         gain = min(5.0, 0.3 + 3 * (now - zone.last_end) / SECOND)
         zone.last_end = now
         if outcome in (TIMED_OUT, COMPLETED) and not fresh:
-            aim = HALF * self.method.soft + 0.4 * home.base if home.keeps else HALF * self.method.soft
-            over = min(1.0, took / aim - 1) if outcome == COMPLETED else 2.0
+            over = min(1.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
             # Slow among sound ones is an upstream's own fault, not the crowd's.
             if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
