Settings of the new shape are checked; tenants and moving weights on the wire; a watching mode

Cause: the module reads multiplex, my_number, weight_kind, customers, excess_payoff; the program checked none of them, knew no tenant, and would log and save each renewal of weights. Change: lifecycle/shape.py names key, what was found, what is allowed, at start, check-config and reload; X-Attrs project reaches Balancer.take; a change of weights alone is neither logged nor saved; [watch] of the features file puts a follower beside the decisions (Balancer.handle is the one line in the module) and counts by kind.

--- a/shedgrade/cli/__init__.py
+++ b/shedgrade/cli/__init__.py
@@ -47,13 +47,21 @@
 
     sidecar = Sidecar(config, loop)
     methods = {name.decode() for name in sidecar.pool.methods}
-    features = load_features(path, methods)
+    features, parts = load_features(path, methods), []
     if features.capture is not None:
         from shedgrade.capture.part import CapturePart
 
         part = CapturePart(features.capture)
-        sidecar = Sidecar(config, loop, part.decisions)
-        part.join(sidecar)
+        parts.append(part)
+    if features.watch is not None:
+        from shedgrade.watch.part import WatchPart
+
+        parts.append(WatchPart(features.watch, str(path), parts[0].decisions if parts else None))
+    if parts:
+        # The outermost stands in the decisions' place and makes the one within it.
+        sidecar = Sidecar(config, loop, parts[-1].decisions)
+        for part in parts:
+            part.join(sidecar)
     sidecar.recheck = lambda: load_features(path, methods)
     if features.saved is not None:
         from shedgrade.saved.source import SavedList
--- a/shedgrade/core/front.py
+++ b/shedgrade/core/front.py
@@ -23,7 +23,7 @@
                  leaving: Callable[[], bool]) -> None:
         """`ready`: what `/up` answers; `leaving`: answers end their connection, as the process drains."""
         self.loop, self.pool, self.budget, self.ready, self.leaving = loop, pool, budget, ready, leaving
-        self.turn, self.methods = pool.turn, pool.methods
+        self.turn, self.methods, self.tenants = pool.turn, pool.methods, pool.tenants
         self.clients: dict = {}
         self.accepting: set = set()     # connections that were accepted and are being taken up
         self.crowd_told = -BETWEEN
--- a/shedgrade/core/pool.py
+++ b/shedgrade/core/pool.py
@@ -25,9 +25,8 @@
         """ConfigError if the settings are not sound."""
         self.name, self.loop, self.clock, self.budget = name, loop, clock, budget
         try:
-            # The protocol has no message by which an upstream is asked, and none between sidecars.
-            limits = {**settings["limits"], "probes": False, "may_tell": False}
-            self.balancer = decisions({**settings, "limits": limits}, seed, clock.now())
+            self.balancer = decisions(settings, seed, clock.now())
+            self.tenants = len(settings.get("customers", ()))
             self.reader = ListReader(settings)
             self.methods = {method["name"].encode(): number
                             for number, method in enumerate(settings["methods"])}
@@ -64,16 +63,18 @@
     def listed(self, message: object, asked: bool = True) -> None:
         """ListError for what is no list; else it is in charge from the next turn on."""
         rows, whole, moved = self.reader.read(message)
+        quiet = self.reader.weights_only
         if asked:
             self.take_over("discovery")
             if self.saved is not None:
-                self.saved.told(message)
+                # Guards the disk: weights that move with load are of no use after a restart.
+                self.saved.told({**message, "instances": []} if quiet else message)
         leaving = [row[0] for row in rows if row[2] != decide.READY]
         for upstream in (*moved, *leaving):
             self.caller.forget(upstream)
             self.caller.leaving(upstream)
         self.turn.listed(rows, whole, asked)
-        if rows or not asked:
+        if (rows and not quiet) or not asked:
             logger.info("list generation {}{}: {} entries{}", self.reader.version, self.label(), len(rows),
                         ", whole" * whole)
         self.listed_once = True
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -260,6 +260,7 @@
 
 class Balancer:
     """The decisions of one sidecar."""
+    handle = Rpc
 
     def __init__(self, settings: dict, seed: int, now: int) -> None:
         random = Random(seed)
@@ -328,7 +329,7 @@
                 up.forget()
                 up.cold_turns = self.chance()
             up.cell, up.started, up.mark, up.kind = cell, started, mark, kind
-            if self.live:
+            if self.live and size > 0:
                 # Load moves the size that the list tells; that of its kind at rest stays.
                 self.nominal[kind] = nominal = max(size, self.nominal.get(kind, size))
                 up.crowd, size = nominal / size - 1, nominal
@@ -630,8 +631,8 @@
         start = int(self.chance() * len(ups))
         # From a random place, or all balancers would fall on the same one.
         for up in ups[start:] + ups[:start]:
-            if up.listed and not up.flight and self.kept(up) and up not in rpc.tries and rpc.allowed(up, now) and (
-                    best is None or up.aside_until < best.aside_until) and (
+            if up.listed and not up.flight and self.kept(up) and up not in rpc.tries and (
+                    rpc.allowed(up, now)) and (best is None or up.aside_until < best.aside_until) and (
                     not self.is_cold(up, now) or self.cold_room(up, now)):
                 best = up
         return best and self.chosen(best, now)
@@ -731,7 +732,7 @@
              tenant: int = 0) -> Rpc:
         # One further transmission for ten RPCs: enough for single faults, too little for a storm.
         self.spare = min(10.0, self.spare + 0.1)
-        return Rpc(self, self.methods[method], now, give_up_at, retry, tag, self.worth(now, tenant))
+        return self.handle(self, self.methods[method], now, give_up_at, retry, tag, self.worth(now, tenant))
 
     def worth(self, now: int, tenant: int) -> float:
         """The part of its payoff that one more RPC of this tenant brings: beyond its share, little."""
--- a/shedgrade/lifecycle/config.py
+++ b/shedgrade/lifecycle/config.py
@@ -4,6 +4,8 @@
 
 import orjson
 
+from shedgrade.lifecycle.shape import problem
+
 
 class ConfigError(Exception):
     """One line that says what is wrong."""
@@ -42,6 +44,9 @@
         raise ConfigError(f"{path}: not JSON ({wrong})") from wrong
     try:
         limits = text.get("limits", {})
+        wrong = problem(text["settings"])
+        if wrong is not None:
+            raise ConfigError(f"{path}: {wrong}")
         return Config(str(text.get("name", "")), address(text["listen"], "listen"),
                       address(text["discovery"], "discovery"), int(text.get("seed", "0"), 16),
                       int(limits.get("memory_mb", 192)), int(limits.get("sockets", 1024)),
--- a/shedgrade/lifecycle/features.py
+++ b/shedgrade/lifecycle/features.py
@@ -12,6 +12,7 @@
 from shedgrade.quota.config import problems as quota_problems
 from shedgrade.saved.config import Saved
 from shedgrade.tunnel.config import PoolTable, ProxyTable, Tunnel, check
+from shedgrade.watch.config import Watch
 
 
 class Features(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -20,6 +21,7 @@
     saved: Saved | None = None
     capture: Capture | None = None
     quota: Quota | None = None
+    watch: Watch | None = None
     tunnel: Tunnel | None = None
     pools: dict[str, PoolTable] = msgspec.field(default_factory=dict)
     proxies: dict[str, ProxyTable] = msgspec.field(default_factory=dict)
@@ -45,6 +47,9 @@
     if features.capture is not None:
         for key, reason in features.capture.problems():
             raise ConfigError(f"{path}: capture.{key}: {reason}")
+    if features.watch is not None:
+        for key, reason in features.watch.problems():
+            raise ConfigError(f"{path}: watch.{key}: {reason}")
     if features.quota is not None:
         for key, reason in quota_problems(features.quota):
             raise ConfigError(f"{path}: quota.{key}: {reason}")
--- a/shedgrade/turn.py
+++ b/shedgrade/turn.py
@@ -42,10 +42,10 @@
             self.scheduled = True
             self.loop.call_soon(self.run)
 
-    def arrived(self, carried: Carried, method: int, wait: int, retry: bool) -> None:
+    def arrived(self, carried: Carried, method: int, wait: int, retry: bool, tenant: int = 0) -> None:
         self.in_hand.add(carried)
         at = self.clock.now()
-        self.gather(self.take, carried, method, at + wait * 10, retry)
+        self.gather(self.take, carried, method, at + wait * 10, retry, tenant)
 
     def ended(self, transmission: Transmission, outcome: int, answer: Answer | None) -> None:
         self.gather(self.end, transmission, outcome, answer, self.clock.now())
@@ -133,7 +133,8 @@
 
     # --- what is handed to the decisions
 
-    def take(self, now: int, carried: Carried, method: int, give_up_at: int, retry: bool) -> None:
+    def take(self, now: int, carried: Carried, method: int, give_up_at: int, retry: bool,
+             tenant: int = 0) -> None:
         if carried.done:
             return
         for gate in self.gates:
@@ -145,7 +146,7 @@
                 return
             carried.tickets = (*carried.tickets, (gate, got, method, now))
         allowance = ALLOWANCE + int(self.lag)
-        carried.rpc = self.balancer.take(now, method, give_up_at - allowance, retry, carried)
+        carried.rpc = self.balancer.take(now, method, give_up_at - allowance, retry, carried, tenant)
         self.decide(now, carried)
 
     def end(self, now: int, transmission: Transmission, outcome: int, answer: Answer | None, at: int) -> None:
--- /dev/null
+++ b/shedgrade/watch/part.py
@@ -0,0 +1,76 @@
+"""Watching as a part of the sidecar: what stands in the decisions' place, and the counts in the log."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from shedgrade import decide
+from shedgrade.lifecycle.config import ConfigError
+from shedgrade.lifecycle.shape import problem
+from shedgrade.watch.config import overlaid
+from shedgrade.watch.follower import Follower
+from shedgrade.watch.watched import Watched
+
+SECOND = 10_000
+
+
+class WatchPart:
+    """Made before the sidecar, as it makes what stands in the decisions' place (`decisions`)."""
+
+    def __init__(self, config, path: str, inner: Callable | None = None) -> None:
+        """`inner`: makes the decisions, where another part (capture) does."""
+        self.config, self.path, self.inner = config, path, inner or decide.Balancer
+        self.watched: Watched | None = None
+        self.tell_at = 0
+
+    def decisions(self, settings: dict, seed: int, now: int) -> Watched:
+        """As a Balancer is made. Only the platform's own pool is watched."""
+        other = overlaid(settings, self.config.settings)
+        wrong = problem(other)
+        if wrong is None:
+            try:
+                Follower(other, seed, now)
+            except KeyError as missing:
+                wrong = f"settings: {missing} is missing"
+            except (ArithmeticError, AttributeError, IndexError, TypeError, ValueError) as failure:
+                wrong = f"settings: a value has the wrong form ({failure})"
+        if wrong is not None:
+            raise ConfigError(f"{self.path}: watch.{wrong}")
+        self.tell_at = now + int(self.config.every_s * SECOND)
+        self.watched = Watched(self.inner(settings, seed, now), lambda: Follower(other, seed, now))
+        return self.watched
+
+    def join(self, sidecar) -> None:
+        sidecar.pool.turn.watchers = (*sidecar.pool.turn.watchers, self)
+        sidecar.parts.append(self)
+
+    def after_turn(self, now: int, late: int) -> None:
+        if now >= self.tell_at:
+            self.tell_at = now + int(self.config.every_s * SECOND)
+            logger.info("watching: {}", self.watched.line())
+
+    # --- the sidecar's life
+
+    def start(self) -> None:
+        logger.info("watching is on, {} settings differ", len(self.config.settings))
+
+    def renew(self, features) -> None:
+        """Only a start changes it."""
+
+    def look_after(self) -> None:
+        pass
+
+    def waiting(self) -> bool:
+        return False
+
+    def stop_accepting(self) -> None:
+        pass
+
+    def close_idle(self) -> None:
+        pass
+
+    def busy(self) -> int:
+        return 0
+
+    def close(self) -> None:
+        logger.info("watching: {}", self.watched.line())
--- /dev/null
+++ b/shedgrade/watch/watched.py
@@ -0,0 +1,176 @@
+"""What stands in the decisions' place where watching is on: passes each call on, and tells the follower.
+
+What comes back is always what the decisions said. The follower is asked after them and behind a guard: a
+fault of its own is logged once, and it is dropped.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+
+from loguru import logger
+
+from shedgrade.watch.follower import Follower, FollowerRpc, differs
+
+
+class Handle:
+    """An RPC as the turn holds it; whatever is asked of it beyond the calls below is the decisions' own."""
+
+    __slots__ = ("rpc", "home", "shadow")
+
+    def __init__(self, home: "Watched", rpc: object, shadow: FollowerRpc | None) -> None:
+        self.home, self.rpc, self.shadow = home, rpc, shadow
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.rpc, name)
+
+    def decide(self, now: int) -> tuple[int, int] | None:
+        answer = self.rpc.decide(now)
+        if self.shadow is not None:
+            self.home.guarded(self.home.compare, now, self.shadow, answer)
+        return answer
+
+    def ended(
+        self, now: int, tx: int, outcome: int, took: int, settled: bool, fresh: bool = False
+    ) -> list[int]:
+        stops = self.rpc.ended(now, tx, outcome, took, settled, fresh)
+        if self.shadow is not None:
+            self.home.guarded(self.shadow.ended, now, tx, outcome, took, settled, fresh)
+        return stops
+
+    def started(self, lasting: bool = False) -> None:
+        self.rpc.started(lasting)
+        if self.shadow is not None:
+            self.home.guarded(self.shadow.started, lasting)
+
+    def gone(self, now: int) -> list[int]:
+        stops = self.rpc.gone(now)
+        if self.shadow is not None:
+            self.home.guarded(self.shadow.gone, now)
+        return stops
+
+
+class Watched:
+    """In the place of a Balancer: the same calls, the same answers."""
+
+    def __init__(self, inner: object, follower: Callable[[], Follower]) -> None:
+        """`inner`: the decisions; `follower`: makes those under the other settings."""
+        self.inner = inner
+        self.follower: Follower | None = None
+        self.counts: Counter[str] = Counter()
+        self.rpcs = 0
+        self.begin(follower)
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.inner, name)
+
+    def begin(self, follower: Callable[[], Follower]) -> None:
+        try:
+            self.follower = follower()
+        except Exception as failure:
+            self.drop(failure)
+
+    def drop(self, failure: Exception) -> None:
+        self.follower = None
+        logger.warning("watching has failed and is off, decisions go on: {!r}", failure)
+
+    def guarded(self, call: Callable, *args: object) -> object:
+        """Guards the decisions: nothing that the follower does wrong reaches them."""
+        if self.follower is None:
+            return None
+        try:
+            return call(*args)
+        except Exception as failure:
+            self.drop(failure)
+            return None
+
+    def compare(self, now: int, shadow: FollowerRpc, answer: tuple[int, int] | None) -> None:
+        kind = differs(shadow, answer, shadow.propose(now))
+        self.count(shadow, kind)
+        shadow.follow(now, answer)
+
+    def count(self, shadow: FollowerRpc, kind: str | None) -> None:
+        """Each kind once an RPC: what is held is asked again and again."""
+        if kind is not None and kind not in shadow.counted:
+            shadow.counted.add(kind)
+            self.counts[kind] += 1
+
+    # --- the calls
+
+    def take(
+        self, now: int, method: int, give_up_at: int, retry: bool = False, tag: object = None, tenant: int = 0
+    ) -> Handle:
+        rpc = self.inner.take(now, method, give_up_at, retry, tag, tenant)
+        self.rpcs += 1
+        shadow = self.guarded(self.take_too, now, method, give_up_at, retry, tenant)
+        return Handle(self, rpc, shadow)
+
+    def take_too(self, now: int, method: int, give_up_at: int, retry: bool, tenant: int) -> FollowerRpc:
+        return self.follower.take(now, method, give_up_at, retry, None, tenant)
+
+    def due(self, now: int):
+        """Both go through what is due side by side; what only the follower would ask again is compared with
+        nothing."""
+        theirs = self.guarded(self.follower.due, now) if self.follower is not None else None
+        for rpc in self.inner.due(now):
+            self.guarded(self.step, theirs, rpc.tag.rpc.shadow, now)
+            yield rpc
+        while self.guarded(self.step, theirs, None, now):
+            pass
+
+    def step(self, theirs, wanted: FollowerRpc | None, now: int) -> bool:
+        """One step of the follower's own; False when it has nothing more, or names the one that is asked."""
+        shadow = next(theirs, None)
+        if shadow is None or shadow is wanted:
+            return False
+        if shadow.held is not None and wanted is None:
+            # It goes on naming the first that is held for as long as that has not been answered.
+            self.count(shadow, differs(shadow, None, shadow.propose(now)))
+            return False
+        self.count(shadow, differs(shadow, None, shadow.propose(now)))
+        return True
+
+    def list_changed(self, now: int, rows: list, whole: bool, asked: bool) -> None:
+        self.inner.list_changed(now, rows, whole, asked)
+        if self.follower is not None:
+            self.guarded(self.follower.list_changed, now, rows, whole, asked)
+
+    def list_failed(self, now: int) -> None:
+        self.inner.list_failed(now)
+        if self.follower is not None:
+            self.guarded(self.follower.list_failed, now)
+
+    def doubted(self, now: int, upstreams: list[int], ends: int, last: bool) -> None:
+        self.inner.doubted(now, upstreams, ends, last)
+        if self.follower is not None:
+            self.guarded(self.follower.doubted, now, upstreams, ends, last)
+
+    def restore(self, now: int, state: dict, age: float) -> None:
+        self.inner.restore(now, state, age)
+        if self.follower is not None:
+            self.guarded(self.follower.restore, now, state, age)
+
+    def wants_list(self, now: int) -> bool:
+        if self.follower is not None:
+            self.guarded(self.follower.wants_list, now)
+        return self.inner.wants_list(now)
+
+    def released(self) -> list[int]:
+        if self.follower is not None:
+            self.guarded(self.follower.released)
+        return self.inner.released()
+
+    def luck(self, method: int) -> float:
+        """Drawn there too, or chance would part the two for good."""
+        if self.follower is not None:
+            self.guarded(self.follower.luck, method)
+        return self.inner.luck(method)
+
+    def span(self, low: float, high: float) -> float:
+        if self.follower is not None:
+            self.guarded(self.follower.span, low, high)
+        return self.inner.span(low, high)
+
+    def line(self) -> str:
+        """What was counted, for the log."""
+        told = ", ".join(f"{kind} {count}" for kind, count in sorted(self.counts.items()))
+        return f"{self.rpcs} RPCs, {told or 'no difference'}{'' if self.follower else ', no longer watched'}"
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -213,6 +213,10 @@
         if method is None:
             self.refuse(404)
             return
+        tenant = self.tenant(known.get(b"x-attrs", b"")) if self.front.tenants else 0
+        if tenant is None:
+            self.refuse(400)
+            return
         # Guards against work for nobody after a stall of our own: the request is read before the end of its
         # connection, whose client left meanwhile.
         if self.front.stalled() and self.ended():
@@ -227,7 +231,17 @@
             self.exhausted(0)
             return
         self.carried = Carried(self, request, self.who)
-        self.front.turn.arrived(self.carried, method, int(wait), known.get(b"x-retried") == b"1")
+        self.front.turn.arrived(self.carried, method, int(wait), known.get(b"x-retried") == b"1", tenant)
+
+    def tenant(self, attributes: bytes) -> int | None:
+        """The tenant's number in `X-Attrs`, 0 where none is named; None if it is not sound."""
+        for pair in attributes.split(b","):
+            name, _, value = pair.partition(b"=")
+            if name.strip() == b"project":
+                value = value.strip()
+                sound = value.isdigit() and len(value) < 6 and int(value) < self.front.tenants
+                return int(value) if sound else None
+        return 0
 
     def completed(self, answer: Answer) -> None:
         self.answer(200, answer.headers, answer.body)
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -32,6 +32,7 @@
         self.indices, self.addresses = Indices(), Addresses()
         self.told: dict[str, dict] = {}     # by id: what was last said of an upstream
         self.version: int | None = None
+        self.weights_only = False           # the last change moved weights and nothing else
 
     def read(self, message: object) -> tuple[list, bool, list[int]]:
         """Rows, whether the list is whole, and the upstreams that are elsewhere now. All or nothing."""
@@ -49,6 +50,9 @@
             entries = [self.entry(instance) for instance in told]
         except (KeyError, OverflowError, TypeError, ValueError, AttributeError) as wrong:
             raise ListError(f"{type(wrong).__name__}: {wrong}") from wrong
+        self.weights_only = not whole and bool(told) and all(
+            {**instance, "weight": 0} == {**self.told.get(instance["instanceId"], {}), "weight": 0}
+            for instance in told)
         rows, moved = [], []
         for instance, (row, address) in zip(told, entries, strict=True):
             self.told[row[0]] = instance
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,233 @@
+"""Parts of zones, sizes that move with load, tenants: what deployments with shared connections need."""
+from math import isclose
+
+import orjson
+import pytest
+from helpers import World, ask, balancer, message, method, on_sockets, request, row, settings
+from loguru import logger
+from typer.testing import CliRunner
+
+from shedgrade import decide
+from shedgrade.cli import app
+from shedgrade.lifecycle.shape import problem
+
+SHARED = {"multiplex": 100}
+
+
+def sidecar(number, sidecars, rows, zones=2, own=0, **more):
+    conf = settings(zones=zones, az=own, limits=SHARED, balancers=sidecars, my_number=number, **more)
+    b = decide.Balancer(conf, number, 0)
+    b.list_changed(0, rows, True, True)
+    return b
+
+
+def mark(up):
+    return up * 2654435761 % 2**32      # as ids are hashed
+
+
+def fleet(count, zones=2, **more):
+    return [(up, up % zones, decide.READY, 0, 0, mark(up), 1.0, 0) for up in range(count)]
+
+
+def test_parts_are_small_and_even_over_the_upstreams_of_a_zone():
+    # Each of 300 sidecars had a connection to each of 60 upstreams, which accept some tens: over half of all
+    # transmissions got none.
+    kept = dict.fromkeys(range(60), 0)
+    for number in range(300):
+        b = sidecar(number, 300, fleet(60), own=number % 2)
+        near, far = b.zones[number % 2], b.zones[1 - number % 2]
+        assert 1 <= len(near.part) <= 2 and len(far.part) <= 1 and near.ring == near.part
+        for up in near.part:
+            kept[up.index] += 1
+    assert min(kept.values()) >= 4 and max(kept.values()) <= 12
+
+
+def test_a_small_fleet_is_kept_to_whole_and_a_big_upstream_by_more_sidecars():
+    assert len(sidecar(0, 3, fleet(6)).zones[0].part) == 3
+    rows = [(*one[:6], 4.0 if one[0] == 0 else 1.0, 0) for one in fleet(20, zones=1)]
+    count = sum(any(up.index == 0 for up in sidecar(number, 100, rows, zones=1).zones[0].part)
+                for number in range(100))
+    even = 100 * len(sidecar(0, 100, rows, zones=1).zones[0].part) / 20
+    assert count > 2 * even
+
+
+def test_a_change_of_one_upstream_moves_few_parts():
+    moved = 0
+    for number in range(200):
+        b = sidecar(number, 200, fleet(40, zones=1), zones=1)
+        before = set(b.zones[0].part)
+        b.list_changed(1, [row(7, state=decide.REMOVED)], False, True)
+        gone = {up for up in before if up.index == 7}
+        moved += bool(set(b.zones[0].part) - before) and not gone
+        assert not any(up.index == 7 for up in b.zones[0].ring)
+    assert moved < 200 / 2
+
+
+def test_without_shared_connections_or_alone_every_upstream_is_in_rotation():
+    for limits, sidecars in (({}, 300), (SHARED, 1)):
+        b = balancer(settings(limits=limits, balancers=sidecars), [(up, 0) for up in range(20)])
+        assert len(b.zones[0].ring) == 20 and b.zones[0].part is None
+
+
+def test_the_last_resort_opens_no_connection_beyond_the_part():
+    # With all of its part refusing, a sidecar went through the whole fleet and filled every table.
+    b = sidecar(0, 750, fleet(64, zones=4), zones=4)
+    kept = {up.index for zone in b.zones for up in zone.part}
+    for index in kept:
+        b.set_aside(0, b.ups[index], True)
+    sent = set()
+    for number in range(30):
+        answer = b.take(number, 0, 9000).decide(number)
+        if answer and answer[0] >= 0:
+            sent.add(answer[0])
+    assert sent <= kept and len(kept) <= 2
+
+
+def live(rows, now=0, b=None):
+    b = b or decide.Balancer(settings(zones=1, weight_kind="live"), 1, 0)
+    b.list_changed(now, [row(up, size=size, kind=kind) for up, size, kind in rows], False, True)
+    return b
+
+
+def test_a_size_that_load_lowers_keeps_what_its_kind_has_at_rest_and_tells_what_is_held():
+    b = live([(0, 2.0, 0), (1, 1.5, 1), (2, 0.5, 0)])
+    assert [b.ups[up].size for up in range(3)] == [2.0, 1.5, 2.0] and b.sizes == 5.5
+    assert [b.ups[up].crowd for up in range(3)] == [0.0, 0.0, 3.0] and b.zones[0].crowd == 1.0
+    live([(0, 1.0, 0), (2, 2.0, 0)], 1, b)
+    assert [b.ups[up].crowd for up in (0, 2)] == [1.0, 0.0] and b.sizes == 5.5
+    live([(1, 0.0, 1)], 2, b)      # no size is no load
+    assert b.ups[1].crowd == 0.0
+
+
+def test_what_the_list_tells_is_held_there_makes_an_upstream_slower_in_foresight():
+    b = live([(0, 1.0, 0), (1, 1.0, 0)])
+    calm = b.expected(b.ups[0], 0)
+    live([(0, 0.2, 0)], 1, b)
+    assert b.expected(b.ups[0], 1) > 2 * calm and isclose(b.expected(b.ups[1], 1), calm)
+
+
+def test_a_zone_that_the_list_tells_is_crowded_takes_fewer():
+    # A quarter of the upstreams died; a light sidecar's own ends told of the crowd when the rest had choked.
+    b = live([(up, 1.0, 0) for up in range(4)])
+    b.sums = [100.0, 150.0, 40_000.0, 250.0, 60_000.0]
+    b.fit()
+    rpc = b.take(0, 0, 9000)
+    rpc.luck, b.zones[0].window = 0.9, 1.0
+    assert not b.zones[0].full(rpc)
+    live([(up, 0.02, 0) for up in range(4)], 1, b)
+    assert b.zones[0].full(rpc)
+
+
+def test_what_a_tenant_sends_beyond_its_share_is_worth_little():
+    customers = [{"name": "a", "allowance_per_s": 10.0}, {"name": "b", "allowance_per_s": 10.0}]
+    b = balancer(settings(customers=customers, excess_payoff=0.1), [(0, 0)])
+    # 30 a second of the first, 10 of the second, over 20 s.
+    worth = {0: 1.0, 1: 1.0}
+    for step in range(600):
+        worth[0] = b.take(step * 333, 0, 10**9, tenant=0).payoff
+        if step % 3 == 0:
+            worth[1] = b.take(step * 333, 0, 10**9, tenant=1).payoff
+    assert worth[1] == 1.0 and 0.4 < worth[0] < 0.6
+    assert b.take(300_000, 0, 10**9, tenant=0).payoff == 1.0    # long quiet: its share is its own again
+    assert b.take(0, 0, 9000, tenant=7).payoff == 1.0
+
+
+def test_lucks_of_a_tenant_beyond_its_share_lie_above_those_within():
+    customers = [{"name": "a", "allowance_per_s": 1.0}, {"name": "b", "allowance_per_s": 1000.0}]
+    b = balancer(settings(customers=customers, excess_payoff=0.1), [(0, 0)])
+    lucks = {0: [], 1: []}
+    for step in range(400):
+        for tenant in (0, 1):
+            lucks[tenant].append(b.take(step * 100, 0, 10**9, tenant=tenant).luck)
+    assert sum(lucks[0][50:]) > 1.4 * sum(lucks[1][50:])
+
+
+def test_without_the_new_keys_decisions_are_as_with_their_defaults():
+    def day(**more):
+        b = balancer(settings([method(payoff=3.0), method("once")], zones=2, balancers=40, **more),
+                     [(up, up % 2) for up in range(12)], seed=7)
+        told, out = [], []
+        for step in range(400):
+            rpc = b.take(step * 40, step % 2, step * 40 + 9000)
+            told.append(rpc.decide(step * 40))
+            out.append(rpc)
+            for rpc in out[-6:-3]:
+                if rpc.out:
+                    how = decide.COMPLETED if step % 9 else decide.FAILED
+                    rpc.ended(step * 40, 0, how, 60 + step % 50, True)
+        return told
+    defaults = {"weight_kind": "nominal", "my_number": 3, "excess_payoff": 0.1, "customers": [],
+                "limits": {"multiplex": 1}, "report": {"fields": ["busy_reqs"], "via": "inline"}}
+    assert day() == day(**defaults)
+
+
+# --- the configuration
+
+
+@pytest.mark.parametrize(("key", "value", "found"), [
+    ("weight_kind", "heavy", "settings.weight_kind: found 'heavy'; invalid enum value"),
+    ("customers", [{"name": "a"}], "settings.customers[0]: found {'name': 'a'}; object missing required"),
+    ("customers", [{"name": "a", "allowance_per_s": -1.0}],
+     "settings.customers[0].allowance_per_s: found -1.0; expected `float` >= 0.0"),
+    ("customers", {}, "settings.customers: found {}; expected `array`"),
+    ("excess_payoff", 2, "settings.excess_payoff: found 2; expected `float` <= 1.0"),
+    ("my_number", -1, "settings.my_number: found -1; expected `int` >= 0"),
+    ("my_number", 1.5, "settings.my_number: found 1.5; expected `int`"),
+    ("balancers", 0, "settings.balancers: found 0; expected `int` >= 1"),
+    ("report", {"via": "x"}, "settings.report.via: found 'x'"),
+])
+def test_a_setting_of_the_shape_that_is_not_sound_is_named_with_what_is_allowed(tmp_path, key, value, found):
+    conf = {**World().conf, key: value}
+    assert problem(conf).startswith(found) and problem(World().conf) is None
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps({"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1",
+                                   "settings": conf}))
+    for command in ("check-config", "serve"):
+        run = CliRunner().invoke(app, [command, "--config", str(path)])
+        assert run.exit_code == 2 and found.split(";")[0] in run.output and str(path) in run.output
+        assert len(run.output.strip().splitlines()) == 1
+
+
+def test_a_number_beyond_the_sidecars_is_refused_where_connections_are_shared():
+    wrong = problem(settings(balancers=4, my_number=4, limits=SHARED))
+    assert wrong.startswith("settings.my_number: found 4")
+    assert problem(settings(balancers=4, my_number=4)) is None
+
+
+@on_sockets
+async def test_the_tenant_comes_with_the_request_and_what_is_no_tenant_is_refused():
+    async def echo(head, body):
+        return message(200, body)
+
+    world = World(echo)
+    world.conf["customers"] = [{"name": "a", "allowance_per_s": 9.0}, {"name": "b", "allowance_per_s": 9.0}]
+    async with world:
+        for number, attributes in enumerate(("project=1", "work_hint=3, project=1", "work_hint=2")):
+            raw = request(b"x", "/m/1", 9000, f"r{number}", f"X-Attrs: {attributes}")
+            assert (await ask(world, raw))[0] == 200
+        seen = [round(count, 1) for count, _ in world.sidecar.pool.balancer.seen]
+        assert seen == [1.0, 2.0]
+        for bad in ("project=2", "project=-1", "project=x", "project="):
+            assert (await ask(world, request(b"x", "/m/1", 9000, "bad", f"X-Attrs: {bad}")))[0] == 400
+
+
+@on_sockets
+async def test_weights_that_move_reach_the_decisions_and_fill_neither_log_nor_disk():
+    async def echo(head, body):
+        return message(200, body)
+
+    world = World(echo, echo)
+    world.conf["weight_kind"] = "live"
+    lines = []
+    async with world:
+        sink = logger.add(lines.append, level="INFO", format="{message}")
+        kept = []
+        world.sidecar.pool.saved = type("Saved", (), {"told": lambda _, told: kept.append(told)})()
+        await world.tell(world.entry(0, weight=1.0), world.entry(1, weight=1.0))    # they had none before
+        await world.tell(world.entry(0, weight=0.25), world.entry(1, weight=1.0))
+        assert world.sidecar.pool.balancer.ups[0].crowd == 3.0
+        await world.tell(world.entry(1, "terminating", weight=1.0))
+        logger.remove(sink)
+        world.sidecar.pool.saved = None
+    assert [len(told["instances"]) for told in kept] == [0, 0, 1]
+    assert sum("list generation" in line for line in lines) == 1
--- /dev/null
+++ b/tests/watch/test_watch.py
@@ -0,0 +1,225 @@
+"""Watching: nothing is counted where the settings are equal, the right kind where one differs, and whatever
+the follower does wrong reaches nobody."""
+
+import json
+import subprocess
+import sys
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from helpers import World, ask, message, method, on_sockets, request, row, settings
+from loguru import logger
+from typer.testing import CliRunner
+
+from shedgrade import decide
+from shedgrade.cli import app
+from shedgrade.lifecycle.config import ConfigError
+from shedgrade.lifecycle.features import load_features
+from shedgrade.lifecycle.sidecar import Sidecar
+from shedgrade.watch.config import Watch
+from shedgrade.watch.follower import Follower, differs
+from shedgrade.watch.part import WatchPart
+
+METHODS = [method("once"), method(payoff=3.0), method("by_key", "zone", payoff=0.5)]
+
+
+class Day:
+    """Drives watched decisions as the turn does, with drains, faults, hangs and clients that leave."""
+
+    def __init__(self, seed, over, busy=4, **more):
+        self.chance, self.now = Random(seed), 100
+        self.conf = settings(METHODS, zones=2, balancers=20, **more)
+        self.part = WatchPart(Watch(settings=over), "features")
+        self.watched = self.part.decisions(self.conf, seed, self.now)
+        self.watched.list_changed(self.now, [row(up, up % 2) for up in range(8)], True, True)
+        self.out, self.answers, self.busy = [], [], busy
+
+    def act(self, carried, answer):
+        self.answers.append(answer)
+        if answer is not None and answer[0] >= 0:
+            took = self.chance.choice((5, 20, 60, 300, 2500, answer[1]))
+            what = decide.TIMED_OUT if took >= answer[1] else self.chance.choice(
+                (decide.COMPLETED,) * 9 + (decide.TURNED_AWAY, decide.FAILED, decide.UNCONNECTED))
+            self.out.append((self.now + min(took, answer[1]), len(carried.rpc.tries) - 1, carried, what))
+
+    def turn(self):
+        for _ in range(self.chance.choice((0, 1, 1, self.busy))):
+            carried = SimpleNamespace(rpc=None)
+            number, tenant = self.chance.randrange(3), self.chance.choice((0, 0, 0, 1))
+            carried.rpc = self.watched.take(self.now, number, self.now + 9000, False, carried, tenant)
+            self.act(carried, carried.rpc.decide(self.now))
+        for end in [one for one in self.out if one[0] <= self.now]:
+            self.out.remove(end)
+            _, tx, carried, what = end
+            if tx in carried.rpc.rpc.out:
+                for stopped in carried.rpc.ended(self.now, tx, what, 20, what == decide.COMPLETED):
+                    carried.rpc.ended(self.now, stopped, decide.STOPPED, 20, True)
+                self.act(carried, carried.rpc.decide(self.now))
+        if self.chance.random() < 0.05:
+            up = self.chance.randrange(10)
+            state = self.chance.choice((decide.READY,) * 2 + (decide.DRAINING,))
+            self.watched.list_changed(
+                self.now, [row(up, up % 2, state, self.now - 500)], False, True)
+        if self.chance.random() < 0.05:
+            self.watched.luck(1)
+            self.watched.span(0.5, 1.0)
+        for rpc in self.watched.due(self.now):
+            self.act(rpc.tag, rpc.tag.rpc.decide(self.now))
+        self.watched.released()
+        self.now += self.chance.choice((10, 50, 200))
+
+    def run(self, turns=1500):
+        for _ in range(turns):
+            self.turn()
+        return self
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_equal_settings_count_no_difference_over_a_day_of_faults(seed):
+    day = Day(seed, {}).run()
+    assert day.watched.rpcs > 1000 and any(answer and answer[0] == decide.EXHAUSTED for answer in day.answers)
+    assert day.watched.follower is not None and not day.watched.counts, day.watched.counts
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_decisions_are_the_same_whatever_is_watched(seed):
+    over = {"limits": {"multiplex": 50, "most_transmissions": 1, "retry_after": False}}
+    watched, plain = Day(seed, over), Day(seed, {})
+    plain.watched.follower = None
+    assert watched.run().answers == plain.run().answers
+    assert watched.watched.counts and watched.watched.follower is not None
+
+
+def test_one_setting_changed_counts_its_kind():
+    def kinds(over, **more):
+        return Day(1, over, **more).run().watched.counts
+
+    assert kinds({"limits": {"most_transmissions": 1}})["no other transmission"] > 0
+    more = kinds({"limits": {"most_transmissions": 6}}, limits={"most_transmissions": 1})
+    assert more["another transmission"] > 0
+    parts = kinds({"limits": {"multiplex": 50}, "balancers": 400})
+    assert parts["other upstream"] > 0
+    # No advice: it is told for exhausted RPCs only, so that is the one kind.
+    assert set(kinds({"limits": {"retry_after": False}})) == {"other advice"}
+    shares = [{"name": "a", "allowance_per_s": 0.1}, {"name": "b", "allowance_per_s": 900.0}]
+    told = kinds({"customers": shares, "excess_payoff": 0.1}, busy=12)
+    assert told["exhausted instead of sent"] + told["exhausted instead of held"] > 0
+
+
+def test_each_pair_of_answers_has_its_kind():
+    follower = Follower(settings(zones=2), 1, 0)
+    follower.list_changed(0, [row(up, up // 2) for up in range(4)], True, True)
+    rpc = follower.take(0, 0, 9000)
+    sent, final, errored = (0, 50), (decide.EXHAUSTED, 100), (decide.ERRORED, 0)
+    pairs = {
+        (sent, (0, 9)): None, (sent, (1, 50)): "other upstream", (sent, (2, 50)): "other zone",
+        (sent, final): "exhausted instead of sent", (final, sent): "sent instead of exhausted",
+        (sent, None): "held instead of sent", (None, sent): "sent instead of held",
+        (None, final): "exhausted instead of held", (final, None): "held instead of exhausted",
+        (None, None): None, (final, final): None, (final, errored): "other answer",
+        (final, (decide.EXHAUSTED, 7)): "other advice"}
+    assert {pair: differs(rpc, *pair) for pair in pairs} == pairs
+    rpc.tries.append(None)
+    assert differs(rpc, None, sent) == "another transmission"
+    assert differs(rpc, sent, None) == differs(rpc, sent, final) == "no other transmission"
+
+
+@pytest.mark.parametrize("where", ["take", "list_changed", "due", "luck"])
+def test_a_fault_of_the_follower_is_logged_once_and_changes_nothing(where, monkeypatch):
+    lines = []
+    sink = logger.add(lines.append, level="WARNING", format="{message}")
+    day, plain = Day(3, {}), Day(3, {})
+    plain.watched.follower = None
+
+    def broken(*_):
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(day.watched.follower, where, broken)
+    try:
+        assert day.run(300).answers == plain.run(300).answers
+    finally:
+        logger.remove(sink)
+    assert day.watched.follower is None and len(lines) == 1 and "broken" in lines[0]
+    assert day.watched.line().endswith("no longer watched")
+
+
+def test_what_is_asked_again_and_again_counts_once_an_rpc():
+    day = Day(5, {"limits": {"multiplex": 50}, "balancers": 400}).run()
+    assert max(day.watched.counts.values()) <= day.watched.rpcs
+
+
+class WatchWorld(World):
+    """The sidecar is made anew with the follower beside the decisions, as `serve` does."""
+
+    def prepare(self):
+        self.part = WatchPart(Watch(settings=self.over, every_s=1.0), "features")
+        before = self.sidecar
+        self.sidecar = Sidecar(before.config, before.loop, self.part.decisions)
+        self.part.join(self.sidecar)
+
+
+@pytest.mark.parametrize("over", [{}, {"limits": {"multiplex": 100}, "balancers": 300}])
+def test_on_sockets_answers_are_given_and_counts_are_logged_at_the_end(over):
+    lines = []
+
+    async def echo(head, body):
+        return message(200, body)
+
+    @on_sockets
+    async def scene():
+        world = WatchWorld(*[echo] * 6)
+        world.over = over
+        async with world:
+            for number in range(40):
+                assert (await ask(world, request(b"x", name=f"r{number}")))[0] == 200
+            await world.tell(world.entry(0, "terminating"))
+            for number in range(40):
+                assert (await ask(world, request(b"x", name=f"s{number}")))[0] == 200
+            assert world.sidecar.pool.balancer.follower is not None
+
+    sink = logger.add(lines.append, level="INFO", format="{message}")
+    try:
+        scene()
+    finally:
+        logger.remove(sink)
+    last = [line for line in lines if line.startswith("watching: ")][-1]
+    assert "watching: 80 RPCs, " in last
+    assert ("other upstream" in last) if over else ("no difference" in last)
+
+
+def test_off_it_is_not_imported():
+    code = ("import sys, shedgrade.cli, shedgrade.lifecycle.sidecar\n"
+            "sys.exit(any(name.startswith('shedgrade.watch') for name in sys.modules))")
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
+
+
+@pytest.mark.parametrize(("text", "found"), [
+    ("[watch]\nevery_s = 0\n", "watch.every_s"),
+    ("[watch.settings]\nzones = []\n", "watch.settings.zones: can't differ"),
+    ("[watch.settings.limits]\nmultiplex = 0\n",
+     "watch.settings.limits.multiplex: found 0; expected `int` >= 1"),
+    ("[watch.settings]\nweight_kind = 'heavy'\n", "watch.settings.weight_kind: found 'heavy'"),
+    ("[watch]\nother = 1\n", "watch"),
+])
+def test_a_bad_table_is_one_line(tmp_path, text, found):
+    path = tmp_path / "features.toml"
+    path.write_text(text)
+    with pytest.raises(ConfigError) as wrong:
+        load_features(path)
+    assert found in str(wrong.value) and str(path) in str(wrong.value) and "\n" not in str(wrong.value)
+
+
+def test_numbers_that_do_not_fit_the_platforms_settings_are_refused_at_the_start(tmp_path):
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({
+        "name": "n1", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "seed": "1",
+        "settings": {**settings(), "shapes": ["k"], "limits": {
+            **settings()["limits"], "dial_timeout": 250.0, "idle_close": 15000.0}}}))
+    features = tmp_path / "features.toml"
+    features.write_text("[watch.settings]\nmy_number = 3\n[watch.settings.limits]\nmultiplex = 9\n")
+    run = CliRunner().invoke(app, ["check-config", "--config", str(config), "--features", str(features)])
+    assert run.exit_code == 2 and "watch.settings.my_number: found 3" in run.output
+    features.write_text("[watch.settings]\nbalancers = 9\n" + features.read_text().split("\n", 1)[1])
+    run = CliRunner().invoke(app, ["check-config", "--config", str(config), "--features", str(features)])
+    assert run.exit_code == 0, run.output
