--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -48,6 +48,7 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
+RECENT = 0.6            # of errors an end before: two in a row, or most of the last few, are no chance
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -56,7 +57,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "doubt", "held", "crowd")
+                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "errors")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -70,7 +71,7 @@
 
     def forget(self) -> None:
         """Health of an earlier process says nothing of the next one."""
-        self.took = self.foreseen = self.good = self.bad = 0.0
+        self.took = self.foreseen = self.good = self.bad = self.errors = 0.0
         self.stamp = self.aside_until = self.cold_stamp = 0
         self.trial = False
 
@@ -661,6 +662,8 @@
             few = self.sums[0] < ENOUGH
             self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
             self.fit()
+        if outcome in (COMPLETED, FAILED):
+            up.errors = up.errors * RECENT + (outcome == FAILED)
         if outcome == COMPLETED:
             up.good += 1
             up.trial = up.doubt > 0
@@ -668,7 +671,8 @@
             up.bad += 0.5 if fresh and outcome == TIMED_OUT else 1.0
         # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that
         # outweigh the good ones, or one connection refused, set an upstream aside; one that broke tells less.
-        if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or (up.trial and outcome != COMPLETED):
+        if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or (up.trial and outcome != COMPLETED) or (
+                outcome == FAILED and up.errors > 1.5):
             self.set_aside(now, up, outcome == UNCONNECTED)
 
     def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
