--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -574,7 +574,7 @@
         rate *= (self.base + self.slope) / self.usual(up, 1) * self.warmth(up, now)
         zone = self.zones[up.zone]
         if zone.part:
-            rate *= zone.ready / len(zone.part) * ((len(self.zones) + 1) / 2 if up.zone == self.own else 0.5)
+            rate *= zone.ready / len(zone.part) * (len(self.zones) if up.zone == self.own else 1)
         since = now - max(up.cold_stamp, up.started)
         up.cold_turns = min(1.0, up.cold_turns + since * rate * 0.75 * self.fall_multiple)
         up.cold_stamp = now
