--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -57,7 +57,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "errors")
+                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "errors", "suspect")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -73,7 +73,7 @@
         """Health of an earlier process says nothing of the next one."""
         self.took = self.foreseen = self.good = self.bad = self.errors = 0.0
         self.stamp = self.aside_until = self.cold_stamp = 0
-        self.trial = False
+        self.trial = self.suspect = False
 
     def fade(self, now: int, memory: float) -> None:
         if now > self.stamp:
@@ -402,13 +402,15 @@
                 number = 0
         zone.part, reach = list(ups), 0.0
         if number < len(ups):
+            zone.part = []
             ups.sort(key=lambda up: up.mark)
             total = sum(up.size for up in ups)
             points = sorted((self.place + step / number) % 1 * total for step in range(number))
-            for up in ups:
+            for place, up in enumerate(ups):
                 before, reach = reach, reach + up.size
-                if not any(before <= point < reach for point in points):
-                    zone.part.remove(up)
+                if any(before <= point < reach for point in points):
+                    # What is aside on suspicion is stood in for by the next on the circle.
+                    zone.part += [one for one in ups[place:] + ups[:place] if not one.suspect][:1] or [up]
         zone.ring = [up for up in zone.ring if up in zone.part]
         for up in ups:
             self.rotation(up, not up.aside_until)
@@ -682,15 +684,19 @@
         if not certain and 2 * (self.aside + 1) > self.ready:
             return
         up.aside_until = now + int(self.span(2, 3) * SECOND)
-        up.trial, up.good, up.bad = True, 0.0, 0.0
+        up.trial, up.good, up.bad, up.suspect = True, 0.0, 0.0, not certain
         self.aside += 1
         self.rotation(up, False)
+        if self.keeps and not certain:
+            self.deal(self.zones[up.zone])
         heappush(self.alarms, (up.aside_until, self.count(), up))
 
     def back(self, up: Upstream) -> None:
-        up.aside_until = 0
+        up.aside_until, suspect, up.suspect = 0, up.suspect, False
         self.aside -= up.listed
         self.rotation(up, up.listed)
+        if self.keeps and suspect:
+            self.deal(self.zones[up.zone])
 
     # --- holding, and when to answer exhausted
 
