--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -48,7 +48,6 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
-RECENT = 0.6            # of errors an end before: two in a row, or most of the last few, are no chance
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -57,7 +56,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "errors", "suspect")
+                 "cold_turns", "cold_stamp", "doubt", "held", "crowd")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -71,9 +70,9 @@
 
     def forget(self) -> None:
         """Health of an earlier process says nothing of the next one."""
-        self.took = self.foreseen = self.good = self.bad = self.errors = 0.0
+        self.took = self.foreseen = self.good = self.bad = 0.0
         self.stamp = self.aside_until = self.cold_stamp = 0
-        self.trial = self.suspect = False
+        self.trial = False
 
     def fade(self, now: int, memory: float) -> None:
         if now > self.stamp:
@@ -333,7 +332,7 @@
             if self.live and size > 0:
                 # Load moves the size that the list tells; that of its kind at rest stays.
                 self.nominal[kind] = nominal = max(size, self.nominal.get(kind, size))
-                up.crowd, size = nominal / size - 1, nominal
+                up.crowd, size = up.crowd + 0.4 * (nominal / size - 1 - up.crowd), nominal
             if asked and up.doubt:
                 # Discovery itself names it: what an older source left in doubt is settled.
                 up.doubt, up.trial = 0, False
@@ -402,15 +401,13 @@
                 number = 0
         zone.part, reach = list(ups), 0.0
         if number < len(ups):
-            zone.part = []
             ups.sort(key=lambda up: up.mark)
             total = sum(up.size for up in ups)
             points = sorted((self.place + step / number) % 1 * total for step in range(number))
-            for place, up in enumerate(ups):
+            for up in ups:
                 before, reach = reach, reach + up.size
-                if any(before <= point < reach for point in points):
-                    # What is aside on suspicion is stood in for by the next on the circle.
-                    zone.part += [one for one in ups[place:] + ups[:place] if not one.suspect][:1] or [up]
+                if not any(before <= point < reach for point in points):
+                    zone.part.remove(up)
         zone.ring = [up for up in zone.ring if up in zone.part]
         for up in ups:
             self.rotation(up, not up.aside_until)
@@ -664,8 +661,6 @@
             few = self.sums[0] < ENOUGH
             self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
             self.fit()
-        if outcome in (COMPLETED, FAILED):
-            up.errors = up.errors * RECENT + (outcome == FAILED)
         if outcome == COMPLETED:
             up.good += 1
             up.trial = up.doubt > 0
@@ -673,8 +668,7 @@
             up.bad += 0.5 if fresh and outcome == TIMED_OUT else 1.0
         # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that
         # outweigh the good ones, or one connection refused, set an upstream aside; one that broke tells less.
-        if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or (up.trial and outcome != COMPLETED) or (
-                outcome == FAILED and up.errors > 1.5):
+        if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or (up.trial and outcome != COMPLETED):
             self.set_aside(now, up, outcome == UNCONNECTED)
 
     def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
@@ -684,19 +678,15 @@
         if not certain and 2 * (self.aside + 1) > self.ready:
             return
         up.aside_until = now + int(self.span(2, 3) * SECOND)
-        up.trial, up.good, up.bad, up.suspect = True, 0.0, 0.0, not certain
+        up.trial, up.good, up.bad = True, 0.0, 0.0
         self.aside += 1
         self.rotation(up, False)
-        if self.keeps and not certain:
-            self.deal(self.zones[up.zone])
         heappush(self.alarms, (up.aside_until, self.count(), up))
 
     def back(self, up: Upstream) -> None:
-        up.aside_until, suspect, up.suspect = 0, up.suspect, False
+        up.aside_until = 0
         self.aside -= up.listed
         self.rotation(up, up.listed)
-        if self.keeps and suspect:
-            self.deal(self.zones[up.zone])
 
     # --- holding, and when to answer exhausted
 
