--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -332,7 +332,7 @@
             if self.live and size > 0:
                 # Load moves the size that the list tells; that of its kind at rest stays.
                 self.nominal[kind] = nominal = max(size, self.nominal.get(kind, size))
-                up.crowd, size = nominal / size - 1, nominal
+                up.crowd, size = up.crowd + 0.4 * (nominal / size - 1 - up.crowd), nominal
             if asked and up.doubt:
                 # Discovery itself names it: what an older source left in doubt is settled.
                 up.doubt, up.trial = 0, False
