Windows widen while the list tells of under 1.5 held a core

The list tells that upstreams hold little. Change: Zone.full widens the window by CALM over what is held a core, up to twice.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -48,6 +48,7 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
+CALM = 1.5              # RPCs held a core below which a zone has room for more, up to twice its windows
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -97,13 +98,10 @@
         is held there cuts it, where the time foreseen at the mean passes the soft deadline."""
         window = self.window
         if self.crowd:
-            window *= min(1.0, rpc.method.soft / self.foreseen(rpc.home)) ** 2
+            window *= min(1.0, rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd))) ** 2
+            window *= max(1.0, min(2.0, CALM / self.crowd))
         return self.flight + rpc.luck >= window
 
-    def foreseen(self, home: "Balancer") -> float:
-        """The time foreseen at the mean that the list tells is held there; 0 if it tells of none."""
-        return home.base + home.slope * (1 + self.crowd) if self.crowd else 0.0
-
 
 class Method:
     """What the settings say of one method, times in tenths of a millisecond."""
@@ -235,10 +233,8 @@
         zone.last_end = now
         if outcome in (TIMED_OUT, COMPLETED) and not fresh:
             over = min(1.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
-            # Slow among sound ones is an upstream's own fault, not the crowd's; slow where the list tells of
-            # no crowd is chance.
-            if over > 0 and home.expected(up, now) <= 1.2 * zone.usual and not (
-                    0 < zone.foreseen(home) < HALF * self.method.soft):
+            # Slow among sound ones is an upstream's own fault, not the crowd's.
+            if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
             elif over < 0 and zone.flight + 1 >= zone.window:
                 zone.window *= max(GROW if zone.window > 1 else 1.0, exp(-STEP * over * gain))
