--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -97,7 +97,7 @@
         is held there cuts it, where the time foreseen at the mean passes the soft deadline."""
         window = self.window
         if self.crowd:
-            window *= min(1.0, rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd))) ** 2
+            window *= min(2.0, (rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd))) ** 2)
         return self.flight + rpc.luck >= window
 
 
