--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -48,6 +48,7 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
+CALM = 1.0              # RPCs held a core below which a zone has room for more, up to twice its windows
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -97,7 +98,8 @@
         is held there cuts it, where the time foreseen at the mean passes the soft deadline."""
         window = self.window
         if self.crowd:
-            window *= min(2.0, (rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd))) ** 2)
+            window *= min(1.0, rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd))) ** 2
+            window *= max(1.0, min(2.0, CALM / self.crowd))
         return self.flight + rpc.luck >= window
 
 
