--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -99,7 +99,7 @@
         window = self.window
         if self.crowd:
             window *= min(1.0, rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd))) ** 2
-            window *= max(1.0, min(3.0, CALM / self.crowd))
+            window *= max(1.0, min(2.0, CALM / self.crowd))
         return self.flight + rpc.luck >= window
 
 
