--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -48,6 +48,7 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
+CALM = 1.5              # RPCs held a core below which a zone has room for more, up to twice its windows
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -98,6 +99,7 @@
         window = self.window
         if self.crowd:
             window *= min(1.0, rpc.method.soft / (rpc.home.base + rpc.home.slope * (1 + self.crowd))) ** 2
+            window *= max(1.0, min(2.0, CALM / self.crowd))
         return self.flight + rpc.luck >= window
 
 
@@ -332,7 +334,7 @@
             if self.live and size > 0:
                 # Load moves the size that the list tells; that of its kind at rest stays.
                 self.nominal[kind] = nominal = max(size, self.nominal.get(kind, size))
-                up.crowd, size = nominal / size - 1, nominal
+                up.crowd, size = up.crowd + 0.4 * (nominal / size - 1 - up.crowd), nominal
             if asked and up.doubt:
                 # Discovery itself names it: what an older source left in doubt is settled.
                 up.doubt, up.trial = 0, False
@@ -574,7 +576,7 @@
         rate *= (self.base + self.slope) / self.usual(up, 1) * self.warmth(up, now)
         zone = self.zones[up.zone]
         if zone.part:
-            rate *= zone.ready / len(zone.part) * ((len(self.zones) + 1) / 2 if up.zone == self.own else 0.5)
+            rate *= zone.ready / len(zone.part) * (len(self.zones) if up.zone == self.own else 1)
         since = now - max(up.cold_stamp, up.started)
         up.cold_turns = min(1.0, up.cold_turns + since * rate * 0.75 * self.fall_multiple)
         up.cold_stamp = now
