--- /dev/null
+++ b/benchmarks/move.py
@@ -0,0 +1,91 @@
+"""What deployments of the new shape cost: `python benchmarks/move.py renewal | watch`. One line a figure.
+
+renewal: one list whose weights all moved, one change of a single upstream. watch: an RPC decided and ended,
+alone and watched, in pairs. No sockets.
+"""
+
+import sys
+from pathlib import Path
+from random import Random
+from statistics import median
+from time import perf_counter
+from types import SimpleNamespace
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
+
+from helpers import method, settings
+
+from shedgrade import decide
+from shedgrade.watch.config import Watch
+from shedgrade.watch.part import WatchPart
+
+SIDECARS, ZONES = 300, 4
+
+
+def conf(**more):
+    return settings([method("once"), method(payoff=3.0)], zones=ZONES, balancers=SIDECARS, my_number=7,
+                    weight_kind="live", limits={"multiplex": 100}, **more)
+
+
+def rows(count, chance, changed=None):
+    return [(up, up % ZONES, decide.READY, 0, 0, up * 2654435761 % 2**32, 1 / (1 + 3 * chance.random()), 0)
+            for up in (range(count) if changed is None else changed)]
+
+
+def timed(call, times):
+    found = []
+    for _ in range(times):
+        start = perf_counter()
+        call()
+        found.append((perf_counter() - start) * 1e6)
+    return median(found)
+
+
+def renewal():
+    for count in (13, 66, 300):
+        chance = Random(1)
+        b = decide.Balancer(conf(), 1, 0)
+        b.list_changed(0, rows(count, chance), True, True)
+        whole = timed(lambda b=b, c=chance, n=count: b.list_changed(1, rows(n, c), False, True), 200)
+        alone = timed(lambda c=chance, n=count: rows(n, c), 200)
+        flip = [decide.DRAINING, decide.READY]
+
+        def change(b=b, c=chance, flip=flip):
+            flip.reverse()
+            (row,) = rows(1, c, [0])
+            b.list_changed(1, [(*row[:2], flip[0], *row[3:])], False, True)
+
+        print(f"{count} upstreams: {whole - alone:.0f} us a renewal of all weights, "
+              f"{timed(change, 200):.0f} us a change of one upstream")
+
+
+def watch():
+    def world(watched):
+        if watched:
+            b = WatchPart(Watch(settings={"limits": {"multiplex": 1}}), "f").decisions(conf(), 1, 0)
+        else:
+            b = decide.Balancer(conf(), 1, 0)
+        b.list_changed(0, rows(66, Random(1)), True, True)
+        state = [0]
+
+        def rpcs():
+            for _ in range(200):
+                state[0] += 1000
+                carried = SimpleNamespace(rpc=None)
+                carried.rpc = b.take(state[0], 0, state[0] + 9000, False, carried)
+                if carried.rpc.decide(state[0]) is not None and carried.rpc.out:
+                    carried.rpc.ended(state[0] + 200, 0, decide.COMPLETED, 200, True)
+                for _ in b.due(state[0] + 200):
+                    pass
+
+        return rpcs
+
+    plain, watched = world(False), world(True)
+    pairs = [(timed(plain, 1) / 200, timed(watched, 1) / 200) for _ in range(30)]
+    print(f"{median(a for a, _ in pairs):.1f} us an RPC, {median(b for _, b in pairs):.1f} us watched, "
+          f"{median(b / a for a, b in pairs):.2f} times")
+
+
+if __name__ == "__main__":
+    {"renewal": renewal, "watch": watch}[sys.argv[1]]()
