--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -48,8 +48,6 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
-SMOOTH = 0.4            # of a renewal is taken up at once: three or four tell what lasts
-SHIFT = 0.1             # of a share an upstream twice as crowded loses at a renewal: settles within ten
 CALM = 1.5              # RPCs held a core below which a zone has room for more, up to twice its windows
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
@@ -59,14 +57,13 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "told", "share")
+                 "cold_turns", "cold_stamp", "doubt", "held", "crowd")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
         self.started = self.flight = 0
         self.mark, self.size, self.kind, self.listed = None, 1.0, None, False
-        self.crowd = self.told = 0.0    # RPCs held a core, as the list tells by its size: smoothed, and last
-        self.share = 1.0        # of its size, by which sidecars keep to it
+        self.crowd = 0.0        # RPCs held a core, as the list tells by its size
         self.held = 0           # streams that are open there: they load it, but are no work in flight
         self.doubt = 0          # good ends it still owes before it gets more than one RPC at a time
         self.turns = self.cold_turns = turns
@@ -337,7 +334,7 @@
             if self.live and size > 0:
                 # Load moves the size that the list tells; that of its kind at rest stays.
                 self.nominal[kind] = nominal = max(size, self.nominal.get(kind, size))
-                up.told, size = nominal / size - 1, nominal
+                up.crowd, size = up.crowd + 0.4 * (nominal / size - 1 - up.crowd), nominal
             if asked and up.doubt:
                 # Discovery itself names it: what an older source left in doubt is settled.
                 up.doubt, up.trial = 0, False
@@ -346,11 +343,11 @@
             self.relist(up, zone, state, size)
             self.release(up)
         for zone in self.zones:
-            if self.live or zone.moved:
-                ups = [up for up in self.ups.values() if up.listed and self.zones[up.zone] is zone]
-                if self.live and ups:
-                    self.renew(now, zone, ups)
-                self.deal(zone, ups)
+            if zone.moved:
+                self.deal(zone)
+            if self.live and zone.ready:
+                held = [up.crowd for up in self.ups.values() if up.listed and self.zones[up.zone] is zone]
+                zone.crowd = sum(held) / zone.ready
             if zone.window == inf and zone.ring:
                 zone.window = max(1.0, THRESHOLD * len(zone.ring) / self.sidecars)
 
@@ -386,22 +383,12 @@
         part = self.zones[up.zone].part
         return part is None or up in part
 
-    def renew(self, now: int, zone: Zone, ups: list[Upstream]) -> None:
-        """What the list tells is held, a core: single figures are chance, what lasts is not. Guards against
-        uneven parts and machines of unlike speed: what lasts above the zone's mean loses sidecars, slowly."""
-        for up in ups:
-            up.crowd += SMOOTH * (up.told - up.crowd)
-        zone.crowd = sum(up.crowd for up in ups) / len(ups)
-        for up in ups:
-            if not self.is_cold(up, now):
-                up.share *= exp(SHIFT * (zone.crowd - up.crowd) / (1 + zone.crowd))
-                up.share = min(2.0, max(0.25, up.share))
-
-    def deal(self, zone: Zone, ups: list[Upstream]) -> None:
+    def deal(self, zone: Zone) -> None:
         """Guards against hundreds of sidecars with a connection each to every upstream: connections cost it
         work, and it accepts so many. A part of the zone, even over all by size, by this sidecar's number;
         points on a circle of the upstreams, so that a change in the list moves few."""
         zone.moved = False
+        ups = [up for up in self.ups.values() if up.listed and self.zones[up.zone] is zone]
         zone.ready = len(ups)
         if not self.keeps:
             return
@@ -417,10 +404,10 @@
         zone.part, reach = list(ups), 0.0
         if number < len(ups):
             ups.sort(key=lambda up: up.mark)
-            total = sum(up.size * up.share for up in ups)
+            total = sum(up.size for up in ups)
             points = sorted((self.place + step / number) % 1 * total for step in range(number))
             for up in ups:
-                before, reach = reach, reach + up.size * up.share
+                before, reach = reach, reach + up.size
                 if not any(before <= point < reach for point in points):
                     zone.part.remove(up)
         zone.ring = [up for up in zone.ring if up in zone.part]
