--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -49,7 +49,6 @@
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
 CALM = 1.5              # RPCs held a core below which a zone has room for more, up to twice its windows
-AWAY = 3                # in a row turned away: a full queue moves on within so many, a hung one never
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
@@ -58,7 +57,7 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "away")
+                 "cold_turns", "cold_stamp", "doubt", "held", "crowd")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
@@ -74,7 +73,7 @@
         """Health of an earlier process says nothing of the next one."""
         self.took = self.foreseen = self.good = self.bad = 0.0
         self.stamp = self.aside_until = self.cold_stamp = 0
-        self.trial, self.away = False, 0    # turned away so often, with nothing completed in between
+        self.trial = False
 
     def fade(self, now: int, memory: float) -> None:
         if now > self.stamp:
@@ -664,7 +663,6 @@
             few = self.sums[0] < ENOUGH
             self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
             self.fit()
-        up.away = up.away + 1 if outcome == TURNED_AWAY else 0 if outcome == COMPLETED else up.away
         if outcome == COMPLETED:
             up.good += 1
             up.trial = up.doubt > 0
@@ -672,8 +670,7 @@
             up.bad += 0.5 if fresh and outcome == TIMED_OUT else 1.0
         # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that
         # outweigh the good ones, or one connection refused, set an upstream aside; one that broke tells less.
-        if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or up.away >= AWAY or (
-                up.trial and outcome != COMPLETED):
+        if outcome == UNCONNECTED or up.bad > max(1.5, up.good) or (up.trial and outcome != COMPLETED):
             self.set_aside(now, up, outcome == UNCONNECTED)
 
     def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
