--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -48,6 +48,7 @@
 QUEUED = 0.5            # of the time taken is held to be queueing at least: guards against crowds not yet met
 HALF = 0.6              # of the soft deadline: windows hold the mean time there, with one end in seven late
 SPARE_SHARE = 1.2       # of a tenant's even share is let pass, and three RPCs: chance seldom brings more
+SMOOTH = 0.4            # of a renewal counts at once: a single one is chance, three or four are not
 CALM = 1.5              # RPCs held a core below which a zone has room for more, up to twice its windows
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
@@ -334,7 +335,7 @@
             if self.live and size > 0:
                 # Load moves the size that the list tells; that of its kind at rest stays.
                 self.nominal[kind] = nominal = max(size, self.nominal.get(kind, size))
-                up.crowd, size = up.crowd + 0.4 * (nominal / size - 1 - up.crowd), nominal
+                up.crowd, size = up.crowd + SMOOTH * (nominal / size - 1 - up.crowd), nominal
             if asked and up.doubt:
                 # Discovery itself names it: what an older source left in doubt is settled.
                 up.doubt, up.trial = 0, False
