--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -744,8 +744,8 @@
         seen, at = self.seen[tenant]
         seen = seen * exp((at - now) / MEMORY) + 1
         self.seen[tenant] = seen, now
-        # As many as are within its share, drawn from all, count in full: the rest are given up first.
-        return 1.0 if seen * self.chance() <= self.shares[tenant] else self.excess
+        part = min(1.0, self.shares[tenant] / seen)
+        return part + (1 - part) * self.excess
 
     def due(self, now: int):
         """Yields the handles that should be asked again, each before the next is looked for."""
