--- a/tests/watch/test_watch.py
+++ b/tests/watch/test_watch.py
@@ -13,7 +13,11 @@
 from typer.testing import CliRunner
 
 from shedgrade import decide
-from shedgrade.cli import app
+from shedgrade.capture.recorder import Recorder
+from shedgrade.capture.replay import Replay
+from shedgrade.capture.rows import KIND
+from shedgrade.cli import app, with_features
+from shedgrade.core import frames
 from shedgrade.lifecycle.config import ConfigError
 from shedgrade.lifecycle.features import load_features
 from shedgrade.lifecycle.sidecar import Sidecar
@@ -188,6 +192,41 @@
     assert ("other upstream" in last) if over else ("no difference" in last)
 
 
+class BothWorld(World):
+    """Capture and watching, assembled as `serve` assembles them."""
+
+    def prepare(self):
+        before = self.sidecar
+        self.sidecar = with_features(before.config, self.features, before.loop)
+
+
+def test_with_capture_on_too_the_recorder_stands_within_and_the_capture_replays(tmp_path):
+    features = tmp_path / "features.toml"
+    features.write_text(f"[watch]\n[capture]\nfolder = '{tmp_path}/c'\n")
+
+    async def echo(head, body):
+        return message(200, body)
+
+    @on_sockets
+    async def scene():
+        world = BothWorld(echo, echo, echo)
+        world.features = features
+        async with world:
+            for number in range(30):
+                assert (await ask(world, request(b"x", name=f"r{number}")))[0] == 200
+            await world.tell(world.entry(0, "terminating"))
+            for number in range(10):
+                assert (await ask(world, request(b"x", name=f"s{number}")))[0] == 200
+            watched = world.sidecar.pool.balancer
+            assert isinstance(watched.inner, Recorder) and watched.follower is not None
+            assert watched.rpcs == 40 and not watched.counts
+            watched.inner.flush()
+            _, records, torn = frames.read(watched.inner.ring.data(), KIND)
+            assert not torn and list(Replay(records).run()) == []
+
+    scene()
+
+
 def test_off_it_is_not_imported():
     code = ("import sys, shedgrade.cli, shedgrade.lifecycle.sidecar\n"
             "sys.exit(any(name.startswith('shedgrade.watch') for name in sys.modules))")
