--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -253,3 +253,22 @@
         world.sidecar.pool.saved = None
     assert [len(told["instances"]) for told in kept] == [0, 0, 1]
     assert sum("list generation" in line for line in lines) == 1
+
+
+@on_sockets
+async def test_on_sockets_a_sidecar_opens_connections_to_its_part_only_and_moves_on_when_it_drains():
+    async def echo(head, body):
+        return message(200, body)
+
+    world = World(*[echo] * 12, multiplex=100)
+    world.conf["balancers"], world.conf["my_number"] = 100, 42
+    async with world:
+        for number in range(20):
+            assert (await ask(world, request(b"x", name=f"r{number}")))[0] == 200
+        used = [number for number, up in enumerate(world.upstreams) if up.seen]
+        assert len(used) == 1 and sum(up.connections for up in world.upstreams) == 1
+        await world.tell(world.entry(used[0], "terminating"))
+        for number in range(20):
+            assert (await ask(world, request(b"x", name=f"s{number}")))[0] == 200
+        now = [number for number, up in enumerate(world.upstreams) if up.seen and number not in used]
+        assert len(now) == 1 and len(world.upstreams[used[0]].seen) == 20
