--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -44,6 +44,7 @@
 EASY = 0.15             # of the shortest soft deadline: whatever is foreseen within it takes all its turns
 SWIFT = 0.7             # of the zone's mean time: faster upstreams take all turns, slower ones fewer of them
 PART = 1                # upstreams of a zone that a sidecar keeps to at least: two may fail at once
+LONE = 3                # the same where a connection carries one RPC: it is held by RPCs, not by upstreams met
 COVER = 5              # sidecars of its zone that keep to an upstream: each then weighs a twentieth there
 GOLDEN = 0.6180339887   # spreads any count of numbers evenly over a circle
 VISITS = 16             # upstreams looked at for one choice at most: work does not grow with the fleet
@@ -290,12 +291,12 @@
         self.chance, self.span, self.pick = random.random, random.uniform, random.choices
         limits = settings["limits"]
         self.own, self.sidecars = settings["az"], settings["balancers"]
-        # Where connections are shared, each sidecar keeps to a part of each zone, by its number.
-        self.keeps = limits.get("multiplex", 1) > 1 and self.sidecars > 1
+        self.shared, self.keeps = limits.get("multiplex", 1) > 1, False
         self.place = settings.get("my_number", 0) * GOLDEN % 1
         self.live = settings.get("weight_kind") == "live"
         self.nominal: dict[int, float] = {}     # by kind: the size of an idle one, where sizes move with load
         self.methods: list[Method] = []
+        self.zones: list[Zone] = []
         self.retuned(settings)
         self.asks = settings["membership_mode"] == "on_request"
         self.following, self.pending, self.ask_at, self.ask_wait = False, False, now, SECOND
@@ -326,7 +327,17 @@
         self.slack = 2 * int(settings["tick"] * 10)
         self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
         self.fall_multiple, self.ask_every = rules["fall_multiple"], int(rules["ask_every"] * 10)
-        self.cross_price = settings["prices"].get("cross_zone", 0.0)
+        prices = settings["prices"]
+        self.cross_price = prices.get("cross_zone", 0.0)
+        # Where connections are shared, or a new one has its price, each sidecar keeps to a part of each zone,
+        # by its number.
+        dear = self.shared or prices.get("handshake", 0.0) > 0 or prices.get("connection", 0.0) > 0
+        keeps = dear and self.sidecars > 1
+        if keeps != self.keeps:
+            self.keeps = keeps
+            for zone in self.zones:
+                zone.moved = True
+            self.relisted()
         # By tenant: RPCs within MEMORY that are its share here, as all sidecars get alike, and those seen.
         self.shares = [SPARE_SHARE * tenant["allowance_per_s"] * MEMORY / SECOND / self.sidecars + 3
                        for tenant in settings.get("customers", ())]
@@ -450,10 +461,12 @@
         ups = [up for up in self.ups.values() if up.listed and self.zones[up.zone] is zone]
         zone.ready = len(ups)
         if not self.keeps:
+            if zone.part is not None:       # the price is gone
+                zone.part, zone.ring = None, [up for up in ups if not up.aside_until]
             return
         near = zone is self.zones[self.own]
         number = COVER * len(ups) * len(self.zones) / self.sidecars
-        number = max(PART, ceil(number)) if near else max(1, ceil(number / 2 / len(self.zones)))
+        number = max(PART if self.shared else LONE, ceil(number)) if near else max(1, ceil(number / 2 / len(self.zones)))
         others = [place for place in self.zones if place is not self.zones[self.own]]
         if not near and len(others) > 1:
             # Fewer other zones, one at least, where sidecars are many: next ones on a circle by its number.
