--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -133,7 +133,7 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned", "luck", "payoff", "lasting", "here")
+                 "again_at", "held", "done", "turned", "luck", "payoff", "lasting", "here", "turned_away")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
                  tag: object, worth: float) -> None:
@@ -144,6 +144,7 @@
         # An open stream; overtaken while held, to be told at once; a long request with all its bytes here.
         self.lasting, self.turned, self.here = False, False, None
         self.payoff = method.payoff * worth
+        self.turned_away = []
         self.luck = home.draw(self.payoff)
 
     def timed(self, now: int, give_up_at: int, retry: bool = False) -> None:
@@ -263,6 +264,8 @@
         home.release(up)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
+            if outcome == TURNED_AWAY and zone not in self.turned_away:
+                self.turned_away.append(zone)
         return self.finish() if settled and not self.done else []
 
     def started(self, lasting: bool = False) -> None:
@@ -597,6 +600,10 @@
                     worst, most = zone, load
         if worst is not None and len(open_zones) > 1:
             open_zones.remove(worst)
+        if rpc.turned_away:
+            for zone in rpc.turned_away:
+                if zone in open_zones and len(open_zones) > 1:
+                    open_zones.remove(zone)
         own = self.zones[self.own]
         left = rpc.soft_end - now if not rpc.method.late else rpc.end - now
         if own in open_zones:
