A time-out among quick completions shrinks a window by less

Ruled out: setting aside (at most half, and the same upstreams complete more than they lose); turning away (8%). Change: a time-out counts by the part of late ends among the zone's recent ones, itself included; a crowd makes ends late before they stop.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -94,12 +94,14 @@
 class Zone:
     """The rotation of one zone: `ring`, of its `ready` upstreams, or of the `part` this sidecar keeps to."""
     __slots__ = ("ring", "ready", "part", "turn", "flight", "window", "usual", "last_end", "read", "held",
-                 "moved", "crowd")
+                 "moved", "crowd", "quick", "late", "swift_at")
 
     def __init__(self, turn: float) -> None:
         self.ring, self.turn, self.flight, self.window, self.usual = [], turn, 0, inf, 0.0
         self.ready, self.part = 0, None
         self.last_end = self.read = self.held = 0
+        self.quick = self.late = 0.0
+        self.swift_at = 0
         self.moved, self.crowd = False, 0.0     # crowd: the mean that the list tells of its upstreams
 
     def full(self, rpc: "Rpc") -> bool:
@@ -254,7 +256,13 @@
         gain = min(5.0, 0.3 + 3 * (now - zone.last_end) / SECOND)
         zone.last_end = now
         if outcome in (TIMED_OUT, COMPLETED) and not fresh:
-            over = min(1.0, took / (HALF * self.method.soft) - 1) if outcome == COMPLETED else 2.0
+            if outcome == COMPLETED:
+                over = min(1.0, took / (HALF * self.method.soft) - 1)
+                keep = exp((zone.swift_at - now) / MEMORY)
+                zone.quick, zone.late, zone.swift_at = (
+                    zone.quick * keep + (over <= 0), zone.late * keep + (over > 0), now)
+            else:
+                over = 2.0 * (zone.late + 1) / (zone.late + zone.quick + 1)
             # Slow among sound ones is an upstream's own fault, not the crowd's.
             if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -240,3 +240,31 @@
     for _ in range(3):
         b.learn(400, b.ups[0], decide.TIMED_OUT, 1480, 1, True)
     assert b.aside == 1     # one that never answers is still found out
+
+
+def test_an_rpc_that_was_turned_away_in_its_zone_goes_to_another_one_next():
+    # A zone that is short turned the same RPC away until it had no transmission left, while others had room.
+    b = balancer(settings([method("once")], zones=3), [(up, up // 3) for up in range(9)])
+    rpc, (first, _) = send(b)
+    rpc.ended(10, 0, decide.TURNED_AWAY, 10, False)
+    second, _ = rpc.decide(10)
+    rpc.ended(20, 1, decide.TURNED_AWAY, 10, False)
+    third, _ = rpc.decide(20)
+    assert first < 3 and {second // 3, third // 3} == {1, 2}
+    assert send(b, 30)[1][0] < 3        # another RPC begins in its own zone
+
+
+def test_a_time_out_among_quick_completions_is_no_crowd():
+    # Where answers get lost the rest come as quickly as ever: windows shrank, and up to a fifth was refused.
+    left = {}
+    for quick in (True, False):
+        b = balancer(settings(), [(up, 0) for up in range(8)])
+        b.zones[0].window = 9.0
+        for step in range(20):
+            rpc, _ = send(b, 1000 * step)
+            rpc.ended(1000 * step + 9, 0, decide.COMPLETED, 9 if quick else 4900, True)
+        before = b.zones[0].window
+        rpc, _ = send(b, 30_000)
+        rpc.ended(34_000, 0, decide.TIMED_OUT, 4000, False)
+        left[quick] = b.zones[0].window / before
+    assert left[True] > 0.9 and left[False] < 0.9
