--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -44,7 +44,7 @@
 EASY = 0.15             # of the shortest soft deadline: whatever is foreseen within it takes all its turns
 SWIFT = 0.7             # of the zone's mean time: faster upstreams take all turns, slower ones fewer of them
 PART = 1                # upstreams of a zone that a sidecar keeps to at least: two may fail at once
-LONE = 3                # the same where a connection carries one RPC: it is held by RPCs, not by upstreams met
+LONE = 3                # the same where each connection carries one RPC: RPCs hold it, not upstreams met
 COVER = 5              # sidecars of its zone that keep to an upstream: each then weighs a twentieth there
 GOLDEN = 0.6180339887   # spreads any count of numbers evenly over a circle
 VISITS = 16             # upstreams looked at for one choice at most: work does not grow with the fleet
@@ -477,7 +477,8 @@
             return
         near = zone is self.zones[self.own]
         number = COVER * len(ups) * len(self.zones) / self.sidecars
-        number = max(PART if self.shared else LONE, ceil(number)) if near else max(1, ceil(number / 2 / len(self.zones)))
+        least = PART if self.shared else LONE
+        number = max(least, ceil(number)) if near else max(1, ceil(number / 2 / len(self.zones)))
         others = [place for place in self.zones if place is not self.zones[self.own]]
         if not near and len(others) > 1:
             # Fewer other zones, one at least, where sidecars are many: next ones on a circle by its number.
