--- a/shedgrade/lifecycle/shape.py
+++ b/shedgrade/lifecycle/shape.py
@@ -103,10 +103,14 @@
     `balancers`: sidecars in all; `my_number`: this one's, below that. `weight_kind`: what the list's weights
     are; `live`: a size that load lowers. `customers[].allowance_per_s`: a tenant's RPCs a second, over all
     sidecars, that are worth their payoff; `excess_payoff`: what is left of it beyond them.
+    `objective_mix.slow_end`: the weight of the part that counts in full while at most the share
+    `miss_allowed` of RPCs misses the soft deadline; `rules.dropped_stay_open`: only draining binds,
+    not what the list lacks.
     """
     limits, report = settings.get("limits", {}), settings.get("report", {})
+    mix, rules = settings.get("objective_mix", {}), settings.get("rules", {})
     customers = settings.get("customers", [])
-    for key, table in (("limits", limits), ("report", report)):
+    for key, table in (("limits", limits), ("report", report), ("objective_mix", mix), ("rules", rules)):
         if not isinstance(table, dict):
             yield key, table, "a table"
             return
@@ -114,6 +118,10 @@
     yield from number("balancers", settings.get("balancers", 1), 1)
     yield from number("my_number", settings.get("my_number", 0), 0)
     yield from number("excess_payoff", settings.get("excess_payoff", 1.0), 0, 1, whole=False)
+    yield from number("objective_mix.slow_end", mix.get("slow_end", 0.0), 0, whole=False)
+    yield from number("objective_mix.miss_allowed", mix.get("miss_allowed", 0.0), 0, 1, whole=False)
+    if not isinstance(rules.get("dropped_stay_open", False), bool):
+        yield "rules.dropped_stay_open", rules["dropped_stay_open"], "true or false"
     for key, kind, kinds in (("weight_kind", settings.get("weight_kind", "nominal"), WEIGHTS),
                              ("report.via", report.get("via", "off"), REPORTS)):
         if kind not in kinds:
