What follows the RPC is held against no upstream; windows open and aim by what may be late

(1) slow_class: RPCs of one method wait twice their soft deadline at every upstream; their ends shrank windows and filled them (Rpc.ended, count_in), 40 to 74% refused, while other methods took what they always take. (2) bad_requests: errors of one tenant's RPCs, wherever sent, set upstreams aside and were sent again (learn, decide). (4) slow_end: that part counts nothing from 5% late on, windows aimed at one in seven. Change: a method that takes over twice the part of its soft deadline that others take drags by itself: it shrinks no window, its time-outs set nobody aside, its RPCs are held, not in flight; a sort (method, tenant) that fails far more than others is not sent again and not held against upstreams; times are normalised by method; windows gain 0.4 an end until the first late one; HALF is lowered to what leaves three times miss_allowed late; where dropped_stay_open, one that was ready and is dropped stays until it fails. Harm: a method that really overloads all upstreams alone is seen late; with one method and one tenant nothing of it acts.

--- a/shedgrade/capture/state.py
+++ b/shedgrade/capture/state.py
@@ -13,8 +13,8 @@
 from random import Random
 from types import ModuleType
 
-VERSION = 3  # of the decisions' fields: what was frozen of others can't be gone on with
-CLASSES = ("Upstream", "Zone", "Method", "Rpc")
+VERSION = 4  # of the decisions' fields: what was frozen of others can't be gone on with
+CLASSES = ("Upstream", "Zone", "Method", "Ratio", "Rpc")
 DRAWS = {"chance": "random", "span": "uniform", "pick": "choices"}  # the balancer's draws from its one Random
 
 
--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -23,7 +23,7 @@
 from bisect import bisect_left, insort
 from heapq import heappop, heappush
 from itertools import count
-from math import ceil, exp, inf
+from math import ceil, exp, inf, log
 from random import Random
 
 EXHAUSTED, ERRORED = -1, -2
@@ -57,6 +57,9 @@
 SMOOTH = 0.4            # of a renewal counts at once: a single one is chance, three or four are not
 CALM = 1.5              # RPCs held a core below which a zone has room for more, up to twice its windows
 STEP = 0.1              # of a window for an end that comes at once, or takes twice as long
+OPENING = 0.4           # RPCs that a window gains an end until the first late one: a start is over in seconds
+DRAG = 2.0              # times the part of its soft deadline that others take: a method drags by itself
+FOLLOWS = 3.0, 0.05     # times the failures of others, and so much more: they follow the sort of RPC
 GROW = 1.05             # of a window for any end in time, or those of busy balancers would lag
 
 
@@ -64,12 +67,13 @@
     """One server as this balancer has seen it."""
     __slots__ = ("index", "zone", "cell", "state", "started", "flight", "mark", "took", "foreseen",
                  "good", "bad", "stamp", "aside_until", "trial", "size", "kind", "turns", "listed",
-                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "out", "told", "back_at", "used")
+                 "cold_turns", "cold_stamp", "doubt", "held", "crowd", "out", "told", "back_at", "used",
+                 "dropped")
 
     def __init__(self, index: int, turns: float) -> None:
         self.index, self.zone, self.cell, self.state = index, None, 0, REMOVED
         self.started = self.flight = 0
-        self.out, self.back_at = False, 0       # taken out by the operators; when they put it back
+        self.out, self.dropped, self.back_at = False, False, 0      # by operators; by the list; put back at
         self.told, self.used = 0, -LONGEST      # its start as the list tells it; when it was last sent to
         self.mark, self.size, self.kind, self.listed = None, 1.0, None, False
         self.crowd = 0.0        # RPCs held a core, as the list tells by its size
@@ -94,15 +98,13 @@
 class Zone:
     """The rotation of one zone: `ring`, of its `ready` upstreams, or of the `part` this sidecar keeps to."""
     __slots__ = ("ring", "ready", "part", "turn", "flight", "window", "usual", "last_end", "read", "held",
-                 "moved", "crowd", "quick", "late", "swift_at")
+                 "moved", "opening", "crowd", "late")
 
     def __init__(self, turn: float) -> None:
         self.ring, self.turn, self.flight, self.window, self.usual = [], turn, 0, inf, 0.0
         self.ready, self.part = 0, None
         self.last_end = self.read = self.held = 0
-        self.quick = self.late = 0.0
-        self.swift_at = 0
-        self.moved, self.crowd = False, 0.0     # crowd: the mean that the list tells of its upstreams
+        self.moved, self.opening, self.crowd, self.late = False, True, 0.0, Ratio()     # crowd: as listed
 
     def full(self, rpc: "Rpc") -> bool:
         """A window between two counts admits that part of the RPCs, each by its own luck; what the list tells
@@ -114,15 +116,32 @@
         return self.flight + rpc.luck >= window
 
 
+class Ratio:
+    """Two sums that fade, and their ratio with evidence worth `prior` for the usual one."""
+    __slots__ = ("over", "under", "stamp")
+
+    def __init__(self) -> None:
+        self.over = self.under = 0.0
+        self.stamp = 0
+
+    def add(self, now: int, over: float, under: float, memory: float = LONGEST) -> None:
+        keep = exp((self.stamp - now) / memory)
+        self.over, self.under, self.stamp = self.over * keep + over, self.under * keep + under, now
+
+    def of(self, prior: float, usual: float = 1.0) -> float:
+        return (self.over + usual * prior) / (self.under + prior)
+
+
 class Method:
     """What the settings say of one method, times in tenths of a millisecond."""
     __slots__ = ("name", "soft", "hard", "payoff", "late", "retriable", "deduped", "group", "window",
-                 "further", "patience")
+                 "further", "patience", "pace", "fails")
 
     def __init__(self, settings: dict, top_payoff: float, most: int) -> None:
         self.name = settings.get("name")
         self.soft, self.hard = int(settings["soft_deadline"] * 10), int(settings["hard_deadline"] * 10)
         self.patience = 0       # the longest that a client has been seen to wait for one try
+        self.pace, self.fails = Ratio(), Ratio()    # time taken over that of any method; failed over ended
         self.payoff, self.late = settings["payoff"], settings["overdue_payoff"]
         self.retriable = settings["idempotency"] == "repeatable"
         self.deduped = settings["idempotency"] == "by_key"
@@ -135,18 +154,18 @@
 class Rpc:
     """One RPC taken; what happens to it later is a call on this handle. `tag` is the caller's mark."""
     __slots__ = ("home", "tag", "method", "come", "soft_end", "end", "tries", "sent", "out", "repeats",
-                 "again_at", "held", "done", "turned", "luck", "payoff", "lasting", "here", "turned_away")
+                 "again_at", "held", "done", "turned", "luck", "payoff", "lasting", "here", "turned_away",
+                 "tenant")
 
     def __init__(self, home: "Balancer", method: Method, now: int, give_up_at: int, retry: bool,
-                 tag: object, worth: float) -> None:
-        self.home, self.method, self.tag = home, method, tag
+                 tag: object, tenant: int) -> None:
+        self.home, self.method, self.tag, self.tenant = home, method, tag, tenant
         self.timed(now, give_up_at, retry)
         self.tries, self.sent, self.out = [], [], {}    # by transmission: upstream; when, None: it never ran
         self.repeats, self.again_at, self.held, self.done = 0, None, None, False
         # An open stream; overtaken while held, to be told at once; a long request with all its bytes here.
         self.lasting, self.turned, self.here = False, False, None
-        self.payoff = method.payoff * worth
-        self.turned_away = []
+        self.payoff, self.turned_away = method.payoff * home.worth(now, tenant), []
         self.luck = home.draw(self.payoff)
 
     def timed(self, now: int, give_up_at: int, retry: bool = False) -> None:
@@ -205,7 +224,7 @@
         self.again_at = None
         if now >= self.end or len(self.tries) >= home.most or (self.here is False and self.tries) or (
                 repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
-                                and home.spare >= 1)):
+                                and home.spare >= 1 and not home.follows(self))):
             return None if self.out else self.final(now)
         if self.turned:
             return self.final(now)
@@ -226,6 +245,8 @@
     def transmit(self, now: int, up: Upstream, repeat: bool) -> tuple[int, int]:
         home, method = self.home, self.method
         home.unhold(self)
+        if not self.tries and home.drag(method) > 1:
+            self.lasting = True     # it will hold its place for long, as an open stream does
         if repeat:
             self.repeats += 1
             home.spare -= 1
@@ -256,24 +277,25 @@
         gain = min(5.0, 0.3 + 3 * (now - zone.last_end) / SECOND)
         zone.last_end = now
         if outcome in (TIMED_OUT, COMPLETED) and not fresh:
+            drag = home.drag(self.method)
             if outcome == COMPLETED:
-                over = min(1.0, took / (HALF * self.method.soft) - 1)
-                keep = exp((zone.swift_at - now) / MEMORY)
-                zone.quick, zone.late, zone.swift_at = (
-                    zone.quick * keep + (over <= 0), zone.late * keep + (over > 0), now)
+                over = min(1.0, took / drag / (home.aim * self.method.soft) - 1)
+                zone.late.add(now, over > 0, 1.0, MEMORY)
             else:
-                over = 2.0 * (zone.late + 1) / (zone.late + zone.quick + 1)
+                over = (drag == 1) * 2.0 * zone.late.of(1.0)
             # Slow among sound ones is an upstream's own fault, not the crowd's.
             if over > 0 and home.expected(up, now) <= 1.2 * zone.usual:
                 zone.window = max(0.1, zone.window * exp(-STEP * over * gain))
+                zone.opening = False
             elif over < 0 and zone.flight + 1 >= zone.window:
+                if zone.opening:
+                    zone.window += OPENING
                 zone.window *= max(GROW if zone.window > 1 else 1.0, exp(-STEP * over * gain))
-        home.learn(now, up, outcome, took, crowd, fresh)
+        home.learn(now, up, outcome, took, crowd, fresh, self)
         home.release(up)
         if outcome in NEVER_RAN:
             self.sent[tx] = None
-            if outcome == TURNED_AWAY and zone not in self.turned_away:
-                self.turned_away.append(zone)
+            self.turned_away += [zone] * (outcome == TURNED_AWAY)
         return self.finish() if settled and not self.done else []
 
     def started(self, lasting: bool = False) -> None:
@@ -336,23 +358,26 @@
             limits["most_transmissions"], limits["parallel_tries"], limits["cancelling"])
         self.longest_wait = int(limits["max_retry_after"] * 10) if limits["retry_after"] else 0
         self.slack = 2 * int(settings["tick"] * 10)
+        self.stay_open = rules.get("dropped_stay_open", False)
         self.cold, self.cold_from = rules["cold"] * 10, rules["cold_from"]
         self.fall_multiple, self.ask_every = rules["fall_multiple"], int(rules["ask_every"] * 10)
         prices = settings["prices"]
         self.cross_price = prices.get("cross_zone", 0.0)
-        # Where connections are shared, or a new one has its price, each sidecar keeps to a part of each zone,
-        # by its number.
-        dear = self.shared or prices.get("handshake", 0.0) > 0 or prices.get("connection", 0.0) > 0
-        keeps = dear and self.sidecars > 1
-        if keeps != self.keeps:
-            self.keeps = keeps
-            for zone in self.zones:
-                zone.moved = True
-            self.relisted()
+        # Where connections are shared, or new ones have a price, each sidecar keeps to a part of each zone.
+        dear = self.shared or prices.get("handshake", 0.0) + prices.get("connection", 0.0) > 0
+        kept, self.keeps = self.keeps, dear and self.sidecars > 1
+        for zone in self.zones:
+            zone.moved |= self.keeps != kept
+        self.relisted()
         # By tenant: RPCs within MEMORY that are its share here, as all sidecars get alike, and those seen.
         self.shares = [SPARE_SHARE * tenant["allowance_per_s"] * MEMORY / SECOND / self.sidecars + 3
                        for tenant in settings.get("customers", ())]
+        self.fails = [Ratio() for _ in self.shares]
         self.seen, self.excess = [(0.0, 0)] * len(self.shares), settings.get("excess_payoff", 1.0)
+        # Where more than a few late ones cost, windows aim at what leaves three times the allowed share late.
+        mix = settings.get("objective_mix", {})
+        late = 3 * mix.get("miss_allowed", 0.0) if mix.get("slow_end", 0.0) > 0 else 0.0
+        self.aim = HALF * min(1.0, log(1 / 7) / log(late)) if 0 < late < 1 else HALF
         top = max((m["payoff"] for m in settings["methods"]), default=1)
         self.mean_payoff = sum(m["payoff"] for m in settings["methods"]) / len(settings["methods"]) or 1.0
         patience = {method.name: method.patience for method in self.methods}
@@ -375,17 +400,19 @@
             self.pending, self.following, self.ask_wait = False, True, SECOND
         if whole:
             named = {row[0] for row in rows}
-            for up in [up for index, up in self.ups.items() if index not in named]:
+            for up in [up for index, up in self.ups.items() if index not in named and not self.stays(up)]:
                 up.back_at *= now - up.back_at < self.cold
                 self.relist(up, up.zone, REMOVED)
                 self.release(up)
         for index, zone, state, started, cell, mark, size, kind in rows:
             up = self.ups.get(index) or self.ups.setdefault(index, Upstream(index, self.chance()))
+            if state == REMOVED and self.stays(up):
+                continue
             if started != up.told:
                 self.relist(up, up.zone, REMOVED)
                 up.forget()
                 up.cold_turns = self.chance()
-            up.cell, up.told, up.mark, up.kind = cell, started, mark, kind
+            up.cell, up.told, up.mark, up.kind, up.dropped = cell, started, mark, kind, False
             up.started = max(started, up.back_at)
             if self.live and size > 0:
                 # Load moves the size that the list tells; that of its kind at rest stays.
@@ -400,6 +427,13 @@
             self.release(up)
         self.relisted()
 
+    def stays(self, up: Upstream) -> bool:
+        """Guards against a list that loses upstreams which serve, where the settings say that only draining
+        binds: one that was ready stays, one RPC at a time until one completes, until it fails."""
+        if self.stay_open and up.listed and not up.dropped:
+            up.dropped = up.trial = True
+        return up.dropped and up.listed
+
     def ordered(self, now: int, upstream: int, out: bool) -> None:
         """Operators restart an upstream that they have taken out: it counts as draining until they put it
         back, and then as cold whatever the list says, with nothing known of it."""
@@ -465,9 +499,8 @@
         return part is None or up in part
 
     def deal(self, zone: Zone) -> None:
-        """Guards against hundreds of sidecars with a connection each to every upstream: connections cost it
-        work, and it accepts so many. A part of the zone, even over all by size, by this sidecar's number;
-        points on a circle of the upstreams, so that a change in the list moves few."""
+        """Guards against hundreds of sidecars with a connection each to every upstream, which takes so many.
+        A part, even over all by size and number, by points on a circle, so that a change moves few."""
         zone.moved = False
         ups = [up for up in self.ups.values() if up.listed and self.zones[up.zone] is zone]
         zone.ready = len(ups)
@@ -609,10 +642,7 @@
                     worst, most = zone, load
         if worst is not None and len(open_zones) > 1:
             open_zones.remove(worst)
-        if rpc.turned_away:
-            for zone in rpc.turned_away:
-                if zone in open_zones and len(open_zones) > 1:
-                    open_zones.remove(zone)
+        open_zones = [zone for zone in open_zones if zone not in rpc.turned_away] or open_zones
         own = self.zones[self.own]
         left = rpc.soft_end - now if not rpc.method.late else rpc.end - now
         if own in open_zones:
@@ -743,7 +773,26 @@
 
     # --- is an upstream well
 
-    def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int, fresh: bool) -> None:
+    def drag(self, method: Method) -> float:
+        """Over 1: RPCs of this method take that much longer of themselves, wherever they go. Guards against
+        a dependency of one method that is taken for a crowd, or for sick upstreams."""
+        rest = [other for other in self.methods if other is not method]
+        usual = sum(other.pace.over / other.soft for other in rest)
+        if not usual or not method.pace.under:
+            return 1.0
+        usual /= sum(other.pace.under for other in rest)
+        return max(1.0, method.pace.of(self.typical()) / method.soft / (DRAG * usual))
+
+    def follows(self, rpc: Rpc) -> bool:
+        """Failures follow its sort of RPC: its method or its tenant fails wherever it goes, others do not."""
+        def beyond(own: Ratio, sorts: list[Ratio]) -> bool:
+            rest = [sort for sort in sorts if sort is not own]
+            usual = sum(sort.over for sort in rest) / (1 + sum(sort.under for sort in rest))
+            return len(rest) > 0 and own.of(ENOUGH / 3, 0.0) > FOLLOWS[1] + FOLLOWS[0] * usual
+        return beyond(rpc.method.fails, [method.fails for method in self.methods]) or any(
+            beyond(own, self.fails) for own in self.fails[rpc.tenant:rpc.tenant + 1])
+
+    def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int, fresh: bool, rpc: Rpc):
         up.fade(now, self.memory)
         if up.doubt:
             self.settle(up, outcome, took, crowd)
@@ -751,13 +800,15 @@
         if outcome in (COMPLETED, TIMED_OUT) and not fresh:
             up.took += took
             usual = self.usual(up, crowd)
+            pace = rpc.method.pace.of(3 * self.typical()) if len(self.methods) > 1 else 1.0
+            rpc.method.pace.add(now, took, usual)
+            usual *= pace
             up.foreseen += usual
             alike = usual / self.kind_factor(up)
             kind = self.kinds.setdefault(up.kind, [0.0, 0.0, now])
             keep = exp((kind[2] - now) / LONGEST)
             self.kinds[up.kind] = [kind[0] * keep + took, kind[1] * keep + alike, now]
-            # The line is that of an upstream of the mean size, warm.
-            level = took * (self.base + self.slope * crowd) / alike
+            level = took * (self.base + self.slope * crowd) / alike     # at one of the mean size, warm
             keep = exp((self.stamp - now) / self.memory)
             seen = (1, crowd, level, crowd * crowd, crowd * level)
             self.sums, self.stamp = [old * keep + new for old, new in zip(self.sums, seen, strict=True)], now
@@ -765,9 +816,14 @@
             few = self.sums[0] < ENOUGH
             self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
             self.fit()
+        if outcome in (COMPLETED, FAILED):
+            for sort in (rpc.method.fails, *self.fails[rpc.tenant:rpc.tenant + 1]):
+                sort.add(now, float(outcome == FAILED), 1.0)
         if outcome == COMPLETED:
             up.good += 1
             up.trial = up.doubt > 0
+        elif outcome == TIMED_OUT and self.drag(rpc.method) > 1 or outcome == FAILED and self.follows(rpc):
+            return      # it follows the RPC, and is not held against the upstream
         elif outcome in (FAILED, TIMED_OUT, DROPPED, BROKEN):
             up.bad += 0.5 if fresh and outcome == TIMED_OUT else 1.0
         # Guards against instant connect failures, fast errors and hangs drawing turns: two bad ends that
@@ -778,6 +834,9 @@
     def set_aside(self, now: int, up: Upstream, certain: bool) -> None:
         if not up.listed or up.aside_until:
             return
+        if up.dropped:
+            self.relist(up, up.zone, REMOVED)
+            return self.relisted()
         # Guards against a fault of our own side, or of all at once: at most half is set aside on suspicion.
         if not certain and 2 * (self.aside + 1) > self.ready:
             return
@@ -836,7 +895,7 @@
              tenant: int = 0) -> Rpc:
         # One further transmission for ten RPCs: enough for single faults, too little for a storm.
         self.spare = min(10.0, self.spare + 0.1)
-        return self.handle(self, self.methods[method], now, give_up_at, retry, tag, self.worth(now, tenant))
+        return self.handle(self, self.methods[method], now, give_up_at, retry, tag, tenant)
 
     def worth(self, now: int, tenant: int) -> float:
         """The part of its payoff that one more RPC of this tenant brings: beyond its share, little."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -193,6 +193,9 @@
     ("my_number", -1, "settings.my_number: found -1; expected a whole number from 0"),
     ("my_number", 1.5, "settings.my_number: found 1.5; expected a whole number"),
     ("balancers", 0, "settings.balancers: found 0; expected a whole number from 1"),
+    ("objective_mix", {"slow_end": -1}, "settings.objective_mix.slow_end: found -1; expected"),
+    ("objective_mix", {"miss_allowed": 2}, "settings.objective_mix.miss_allowed: found 2; expected a number"),
+    ("objective_mix", 7, "settings.objective_mix: found 7; expected a table"),
     ("report", {"via": "x"}, "settings.report.via: found 'x'; expected one of off, on_probe, inline"),
     ("report", [], "settings.report: found []; expected a table"),
     ("my_number", True, "settings.my_number: found True; expected a whole number"),
@@ -300,3 +303,72 @@
         window = [at for at in sent if begin < at <= begin + 2]
         able = 10 * sum(0.2 + 0.8 * (begin + part / 10) / 10 for part in range(20)) / 10
         assert len(window) <= 3.0 * able
+
+
+# --- parts where new connections have a price
+
+
+def priced(number, sidecars, rows, zones=4, price=0.08, own=0):
+    conf = settings(zones=zones, az=own, balancers=sidecars, my_number=number, prices={"handshake": price})
+    b = decide.Balancer(conf, number, 0)
+    b.list_changed(0, rows, True, True)
+    b.sums = [100.0, 150.0, 60_000.0, 250.0, 90_000.0]
+    b.fit()
+    return b
+
+
+def met(b, count=100, bad=(), whole=None):
+    """Upstreams sent to by a light sidecar, one RPC after another; those in `bad` refuse."""
+    used, done = [], 0
+    for step in range(count):
+        rpc = b.take(step * 1000, 0, step * 1000 + 9000)
+        answer = rpc.decide(step * 1000)
+        while answer and answer[0] >= 0:
+            used.append(answer[0])
+            how = decide.UNCONNECTED if answer[0] in bad else decide.COMPLETED
+            rpc.ended(step * 1000 + 1, len(rpc.tries) - 1, how, 600, how == decide.COMPLETED)
+            done += how == decide.COMPLETED
+            answer = rpc.decide(step * 1000 + 1)
+    return used, done
+
+
+def test_two_hundred_light_sidecars_open_few_connections_where_each_has_its_price():
+    # Each went round all of a hundred upstreams: a third to a half of all RPCs opened a connection.
+    kept, sent = dict.fromkeys(range(100), 0), dict.fromkeys(range(100), 0)
+    for number in range(200):
+        b = priced(number, 200, fleet(100, 4), own=number % 4)
+        used, _ = met(b, 20)
+        assert 3 <= len(b.zones[b.own].part) <= 5 and len(set(used)) <= 5
+        for up in set(used):
+            kept[up] += 1
+        for up in used:
+            sent[up] += 1
+    assert max(kept.values()) <= 20 and min(kept.values()) >= 2 and max(sent.values()) <= 3 * 40
+    assert len(set(met(priced(0, 200, fleet(100, 4), price=0.0))[0])) == 25
+
+
+def test_a_part_with_two_bad_upstreams_still_serves_and_one_that_is_replaced_is_dealt_anew():
+    b = priced(7, 200, fleet(100, 4))
+    bad = {up.index for up in b.zones[0].part[:2]}
+    used, done = met(b, 100, bad)
+    assert done == 100 and len([up for up in used if up in bad]) < 20
+    fresh = [(up + 1000, *one[1:]) for up, one in enumerate(fleet(100, 4))]
+    b.list_changed(10**6, fresh, True, True)
+    assert 3 <= len(b.zones[0].part) <= 5 and all(up.index >= 1000 for up in b.zones[0].ring)
+    assert b.zones[0].ring == b.zones[0].part
+
+
+def test_a_price_that_comes_or_goes_at_a_reload_moves_the_parts():
+    b = priced(7, 200, fleet(100, 4), price=0.0)
+    assert b.zones[0].part is None and len(b.zones[0].ring) == 25
+    conf = settings(zones=4, balancers=200, my_number=7, prices={"connection": 0.03})
+    b.retuned(conf)
+    assert 3 <= len(b.zones[0].ring) <= 5
+    b.retuned(settings(zones=4, balancers=200, my_number=7))
+    assert b.zones[0].part is None and len(b.zones[0].ring) == 25
+
+
+def test_few_sidecars_keep_to_the_whole_of_their_zone_also_where_connections_have_a_price():
+    for sidecars in (3, 8):
+        b = priced(1, sidecars, fleet(12, 4))
+        assert len(b.zones[0].ring) == 3
