An end after the last upstream drained is an end like any

Cause: Balancer.learn divided by the time foreseen, which is 0 while no upstream is ready (usual goes by the mean size of those ready). Ruled out: the factor by method (red with one method too). Change: nothing is learnt of times while nothing is ready; the factor by method is 0.1 at least.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -796,11 +796,11 @@
         up.fade(now, self.memory)
         if up.doubt:
             self.settle(up, outcome, took, crowd)
-        # Guards against dear connections: what the first RPC on one took tells of it, not of the upstream.
-        if outcome in (COMPLETED, TIMED_OUT) and not fresh:
+        # Guards against dear connections, of which a first RPC tells. Nothing ready: no mean size to go by.
+        if outcome in (COMPLETED, TIMED_OUT) and not fresh and self.usual(up, crowd) > 0:
             up.took += took
             usual = self.usual(up, crowd)
-            pace = rpc.method.pace.of(3 * self.typical()) if len(self.methods) > 1 else 1.0
+            pace = max(0.1, rpc.method.pace.of(3 * self.typical())) if len(self.methods) > 1 else 1.0
             rpc.method.pace.add(now, took, usual)
             usual *= pace
             up.foreseen += usual
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -358,3 +358,14 @@
             assert 0 not in b.ups and not any(up.index == 0 for up in b.zones[0].ring)
             b.list_changed(6, [row(0, started=6)], False, True)     # the list names it again
             assert b.ups[0].listed and not b.ups[0].dropped
+
+
+def test_an_end_after_the_last_upstream_drained_is_an_end_like_any():
+    # With no upstream ready the foreseen time was 0, and learning from the end divided by it.
+    for names in ("a", "ab"):
+        b = balancer(settings([{**method(), "name": name} for name in names]), [(0, 0), (1, 0)])
+        out = [send(b, 0, len(names) - 1)[0] for _ in range(2)]
+        b.list_changed(1, [row(0, state=decide.DRAINING), row(1, state=decide.DRAINING)], False, True)
+        for rpc in out:
+            assert rpc.ended(5, 0, decide.COMPLETED, 5, True) == [] and rpc.done
+        assert b.flight == 0 and all(up.flight == 0 for up in b.ups.values())
