A marked retry a few ms short of the longest wait is not held to be cut

Ruled out: windows, setting aside, cold budgets, the hang itself (over 0.3 s before). Cause: `Rpc.timed` takes a marked retry whose wait is over two ticks (2 ms here) under the longest seen for one that its hard deadline cuts, and dates its first try back by the hard deadline; `Turn.take` cuts each wait by the loop's lateness, up to 5 ms, so with a tick of 1 ms each retry on a busy machine was refused at once as long past. Change: cut means short by more than two ticks and by more than a sixteenth of the longest wait. Guards also against clients that tell their wait a little less each time. Harm: a retry cut by less than that gets its whole soft deadline anew.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -171,9 +171,9 @@
     def timed(self, now: int, give_up_at: int, retry: bool = False) -> None:
         home, method = self.home, self.method
         # Guards against work for nobody: a marked retry that the hard deadline cuts short tells when its
-        # first try came, and the soft deadline runs from there.
+        # first try came, and the soft deadline runs from there. A sixteenth less is the lateness of a loop.
         method.patience = max(method.patience, give_up_at - now)
-        cut = retry and give_up_at - now < method.patience - home.slack
+        cut = retry and give_up_at - now < method.patience - max(home.slack, method.patience // 16)
         self.come = now = min(now, give_up_at - method.hard) if cut else now
         # An answer is wanted two ticks early, so that a time-out is still answered before the deadline.
         self.soft_end = min(now + method.soft, give_up_at) - home.slack
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -369,3 +369,12 @@
         for rpc in out:
             assert rpc.ended(5, 0, decide.COMPLETED, 5, True) == [] and rpc.done
         assert b.flight == 0 and all(up.flight == 0 for up in b.ups.values())
+
+
+def test_a_marked_retry_told_a_few_ms_late_by_a_busy_loop_is_not_taken_for_one_cut_by_its_hard_deadline():
+    for late, refused in ((50, False), (1000, True)):
+        b = balancer(settings([method(soft=2000.0, hard=3000.0)], tick=1.0), ONE)
+        first, _ = send(b, 0, 0, 8000)
+        first.ended(7000, 0, decide.TIMED_OUT, 7000, True, True)
+        answer = b.take(9000, 0, 9000 + 8000 - late, True).decide(9000)
+        assert (answer[0] < 0) == refused
