What is dear passes over upstreams that are not swift, which the cheap fill

Ruled out: cold ones (8% of signoffs, 20 late), crossings (late alike), time-outs (32). At fault: `Balancer.rotate` gives turns by the time foreseen, whatever the RPC has to lose. Change: an RPC whose payoff is over the mean passes over what is not swift while a swift one has room; turns that it leaves are taken by the cheap.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -121,8 +121,7 @@
     __slots__ = ("over", "under", "stamp")
 
     def __init__(self) -> None:
-        self.over = self.under = 0.0
-        self.stamp = 0
+        self.over, self.under, self.stamp = 0.0, 0.0, 0
 
     def add(self, now: int, over: float, under: float, memory: float = LONGEST) -> None:
         keep = exp((self.stamp - now) / memory)
@@ -222,12 +221,11 @@
             return None
         repeat = self.first_run() is not None
         self.again_at = None
-        if now >= self.end or len(self.tries) >= home.most or (self.here is False and self.tries) or (
-                repeat and not ((method.retriable or method.deduped) and self.repeats < method.further
-                                and home.spare >= 1 and not home.follows(self))):
+        if self.turned or now >= self.end or len(self.tries) >= home.most or (
+                self.here is False and self.tries) or (repeat and not (
+                (method.retriable or method.deduped) and self.repeats < method.further
+                and home.spare >= 1 and not home.follows(self))):
             return None if self.out else self.final(now)
-        if self.turned:
-            return self.final(now)
         # Crossing has a price, so the own zone gets that share of the soft deadline to make room first, or a
         # quarter of what the soft deadline leaves beside the usual time.
         stay = self.come + int(max(home.cross_price * method.soft, (method.soft - home.typical()) / 4))
@@ -685,10 +683,12 @@
             if not self.room(up, now, left, expected):
                 continue
             # Guards against mixed speeds: over time, too, an upstream well above the mean is passed over, so
-            # that a slow one gets the fewer turns the longer it takes. What is quick enough takes every turn.
+            # that a slow one gets the fewer turns the longer it takes, and the dear, with most to lose, go
+            # elsewhere. What is quick enough takes every turn.
             swift = max(EASY * self.shortest, SWIFT * zone.usual)
             up.turns += 1.0 if expected <= swift else (swift / expected) ** 2
-            if up.flight + up.held <= bar and up.turns >= 1:
+            if up.flight + up.held <= bar and up.turns >= 1 and (
+                    expected <= swift or rpc.payoff <= self.mean_payoff):
                 up.turns -= 1
                 zone.turn = (start + step + 1) % size
                 return self.chosen(up, now)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -378,3 +378,21 @@
         first.ended(7000, 0, decide.TIMED_OUT, 7000, True, True)
         answer = b.take(9000, 0, 9000 + 8000 - late, True).decide(9000)
         assert (answer[0] < 0) == refused
+
+
+def test_what_is_dear_passes_over_the_slow_while_something_quick_has_room():
+    b = balancer(settings([method(payoff=1.0), method(payoff=5.0)]), [(up, 0) for up in range(4)])
+    b.zones[0].window = 99.0
+    for up in b.ups.values():       # two are far slower than the other two, and slow for the soft deadline
+        up.took, up.foreseen, up.stamp = (2.5e7 if up.index < 2 else 1e6), 1e5, 0
+    sent = {0: [], 1: []}
+    for now in range(60):
+        number = now % 2
+        rpc, (up, _) = send(b, 0, number)
+        sent[number].append(up)
+        b.count_in(rpc.tries[0], -1, 0)
+    assert set(sent[1]) <= {2, 3} and {0, 1} & set(sent[0])
+    for up in (2, 3):
+        b.count_in(b.ups[up], 200, 0)
+    b.zones[0].window = 999.0
+    assert send(b, 0, 1)[1][0] in (0, 1)    # the quick have no room: a slow one is better than none
