The part of a cold upstream goes by ends over the time there was, so a restarted sidecar has one

At fault: `Balancer.cold_room` divides what was seen by `memory` even where the process is younger than that, and `Balancer.learn` stretches `memory` by a tenth with each of the first ends, to 30 s: 19 ends within a second count as 0.6 a second. Ruled out: the list, setting aside (0.1 to 0.5), windows alone (57 admitted on the mean by RPC). Change: own traffic is a faded count of ends over the faded time in which they came, first ends on connections counted too; it takes the place of the factor for those. The first second counts against it. Harm: light sidecars' parts vary more by chance. Tests: a budget test set `sums` and now sets the ends; its least use is 40 sends in place of 50, as the first second counts.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -120,8 +120,8 @@
     """Two sums that fade, and their ratio with evidence worth `prior` for the usual one."""
     __slots__ = ("over", "under", "stamp")
 
-    def __init__(self) -> None:
-        self.over, self.under, self.stamp = 0.0, 0.0, 0
+    def __init__(self, over: float = 0.0, now: int = 0) -> None:
+        self.over, self.under, self.stamp = over, 0.0, now
 
     def add(self, now: int, over: float, under: float, memory: float = LONGEST) -> None:
         keep = exp((self.stamp - now) / memory)
@@ -339,7 +339,7 @@
         self.ready = self.aside = 0             # upstreams ready, and of these set aside
         self.sizes = 0.0                        # the sum of what the list says of their sizes
         self.kinds: dict[int, list] = {}        # by kind of upstream: took, foreseen, since when
-        self.memory, self.fresh = MEMORY, Ratio()   # first ends on a connection over the later ones
+        self.memory, self.ends = MEMORY, Ratio(1.0, now)    # of those that took an upstream's time, over time
         self.zones = [Zone(self.chance()) for _ in settings["zones"]]
         self.alarms, self.held, self.count, self.flight, self.spare = [], [], count().__next__, 0, 5.0
         # Time taken against own RPCs in flight at the upstream, over all of them, as sums of a fitted line.
@@ -701,15 +701,15 @@
 
     def cold_room(self, up: Upstream, now: int) -> bool:
         """Rule 4: a cold upstream gets its part of what this balancer sends, so that all keep to theirs."""
-        # By own traffic, first ones on a connection too, as it ends at a warm upstream of like size and kind:
-        # hundreds of even parts would mostly lie unused. Three quarters of the multiple, for chance.
-        rate = self.sums[0] * exp((self.stamp - now) / self.memory) / self.memory / max(1, self.ready)
+        # By own traffic, as it ends at a warm upstream of like size and kind: hundreds of even parts would
+        # mostly lie unused. Over the time there was, or a restart of all has no part. 3/4 of it, for chance.
+        rate = self.ends.over / (self.ends.under + now - self.ends.stamp + SECOND) / max(1, self.ready)
         rate *= (self.base + self.slope) / self.usual(up, 1) * self.warmth(up, now) * self.part
         zone = self.zones[up.zone]
         if zone.part:
             rate *= zone.ready / len(zone.part) * (len(self.zones) if up.zone == self.own else 1)
-        rate *= (now - max(up.cold_stamp, up.started)) * (1 + self.fresh.of(1.0, 0.0))
-        up.cold_turns = min(1.0, up.cold_turns + rate * 0.75 * self.fall_multiple)
+        since = now - max(up.cold_stamp, up.started)
+        up.cold_turns = min(1.0, up.cold_turns + since * rate * 0.75 * self.fall_multiple)
         up.cold_stamp = now
         return up.cold_turns >= 1
 
@@ -793,7 +793,7 @@
 
     def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int, fresh: bool, rpc: Rpc):
         up.fade(now, self.memory)
-        self.fresh.add(now, fresh, not fresh, MEMORY)
+        self.ends.add(now, outcome in (COMPLETED, TIMED_OUT), now - self.ends.stamp, self.memory)
         if up.doubt:
             self.settle(up, outcome, took, crowd)
         # Guards against dear connections, of which a first RPC tells. Nothing ready: no mean size to go by.
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -39,6 +39,7 @@
     b.list_changed(0, [row(up, zone) for up, zone in upstreams], True, True)
     b.sums = [100.0, 150.0, 1000.0, 250.0, 1500.0]  # 1 ms whatever is in flight
     b.fit()
+    b.ends.over, b.ends.under = 100.0, 4 * decide.SECOND     # 20 a second
     return b
 
 
