An upgrade's newer process takes over the pace of ends; their first second counts only at a start

At fault: `Balancer.cold_room` added a second to the time for good, a sixth of a busy sidecar's pace; `Balancer.restore` left the newer process without a pace, beside half of the budget. Change: both. The new test is red without the pace taken over.

--- a/shedgrade/decide.py
+++ b/shedgrade/decide.py
@@ -578,7 +578,8 @@
         keep = exp(-age * SECOND / LONGEST)
         part = max(keep, 1 / max(1.0, state["sums"][0]))    # one end's worth stays: better than a belief
         self.sums, self.stamp = [total * part for total in state["sums"]], now
-        self.memory = state["memory"]
+        self.memory = self.ends.under = state["memory"]
+        self.ends.over, self.ends.stamp = self.sums[0], now     # it is the same traffic
         self.kinds = {kind: [took * keep, alike * keep, now] for kind, took, alike in state["kinds"]}
         self.fit()
         for zone, window in zip(self.zones, state["windows"], strict=True):
@@ -703,7 +704,7 @@
         """Rule 4: a cold upstream gets its part of what this balancer sends, so that all keep to theirs."""
         # By own traffic, as it ends at a warm upstream of like size and kind: hundreds of even parts would
         # mostly lie unused. Over the time there was, or a restart of all has no part. 3/4 of it, for chance.
-        rate = self.ends.over / (self.ends.under + now - self.ends.stamp + SECOND) / max(1, self.ready)
+        rate = self.ends.over / max(SECOND, self.ends.under + now - self.ends.stamp) / max(1, self.ready)
         rate *= (self.base + self.slope) / self.usual(up, 1) * self.warmth(up, now) * self.part
         zone = self.zones[up.zone]
         if zone.part:
@@ -798,12 +799,11 @@
             self.settle(up, outcome, took, crowd)
         # Guards against dear connections, of which a first RPC tells. Nothing ready: no mean size to go by.
         if outcome in (COMPLETED, TIMED_OUT) and not fresh and self.usual(up, crowd) > 0:
-            up.took += took
             usual = self.usual(up, crowd)
             pace = max(0.1, rpc.method.pace.of(3 * self.typical())) if len(self.methods) > 1 else 1.0
             rpc.method.pace.add(now, took, usual)
             usual *= pace
-            up.foreseen += usual
+            up.took, up.foreseen = up.took + took, up.foreseen + usual
             alike = usual / self.kind_factor(up)
             kind = self.kinds.setdefault(up.kind, [0.0, 0.0, now])
             keep = exp((kind[2] - now) / LONGEST)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -411,3 +411,11 @@
                 cold += up.index == 9
                 rpc.ended(now + 100, tx, decide.COMPLETED, 100, True, step % every == every - 1)
         assert 6 <= cold <= 3 * 0.4 * 8 * 2 + 1
+
+
+def test_a_process_that_takes_over_has_the_part_of_a_cold_upstream_that_the_older_one_had():
+    older = balancer(settings(), [(up, 0) for up in range(4)])
+    b = decide.Balancer(settings(), 1, 1000)
+    b.list_changed(1000, [row(up) for up in range(4)] + [row(9, started=1000)], True, True)
+    b.restore(1000, older.export(1000), 0.0)
+    assert b.cold_room(b.ups[9], 1000 + 2 * decide.SECOND)      # 20 a second over five, of which 0.2 at least
