--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -424,5 +424,5 @@
 def test_the_first_second_counts_against_own_pace_at_a_start_only():
     b = balancer(settings(), [(up, 0) for up in range(4)])
     b.list_changed(0, [row(9, started=1)], False, True)
-    b.ends.under, b.ups[9].cold_turns = 5 * decide.SECOND, 0.0      # 20 a second over five: 1.9 a second at 0.2
+    b.ends.under, b.ups[9].cold_turns = 5 * decide.SECOND, 0.0      # 20 a second over five
     assert b.cold_room(b.ups[9], 55 * decide.SECOND // 100)
