Nothing is sent for a client that left, for a drained upstream, or when time is up

Lines at fault: Turn.transmit looked at carried.done only, which a client's unread end does not set; Caller.dial began whatever its dial was for, though the client had left (cancelling off), the drain been told longer ago than its grace, or the time was up. Pool.listed let go of idle connections only, not of dials.

Change: Turn.take looks once whether the client has left (POLLRDHUP), Turn.wanted is asked right before the first byte and looks again after 10 ms. Pool.listed hands the list over first, then withdraws dials, which are decided anew. Accepting that fails no longer spins. An answer says close only if nothing is unread.

FIN behind a full receive window is not here and cannot be seen: open.

--- a/shedgrade/cli/__init__.py
+++ b/shedgrade/cli/__init__.py
@@ -10,6 +10,7 @@
 
 from shedgrade import __version__
 from shedgrade.lifecycle.config import Config, ConfigError, load
+from shedgrade.lifecycle.early import noted
 from shedgrade.lifecycle.logs import log_to_stderr
 from shedgrade.lifecycle.sidecar import Sidecar
 
@@ -87,6 +88,7 @@
 ) -> None:
     """Run one sidecar until SIGTERM."""
     start_log(log_level, log_format)
+    noted()
 
     async def run() -> None:
         loop = asyncio.get_running_loop()
--- a/shedgrade/core/pool.py
+++ b/shedgrade/core/pool.py
@@ -83,10 +83,9 @@
                 # Guards the disk: weights that move with load are of no use after a restart.
                 self.saved.told({**message, "instances": []} if quiet else message)
         leaving = [row[0] for row in rows if row[2] != decide.READY]
+        self.turn.listed(rows, whole, asked)    # first: what is withdrawn is decided anew by this list
         for upstream in (*moved, *leaving):
-            self.caller.forget(upstream)
-            self.caller.leaving(upstream)
-        self.turn.listed(rows, whole, asked)
+            self.caller.withdraw(upstream)
         if (rows and not quiet) or not asked:
             logger.info("list generation {}{}: {} entries{}", self.reader.version, self.label(), len(rows),
                         ", whole" * whole)
--- a/shedgrade/lifecycle/sidecar.py
+++ b/shedgrade/lifecycle/sidecar.py
@@ -14,6 +14,7 @@
 from shedgrade.clock import Clock
 from shedgrade.core.front import Front
 from shedgrade.core.pool import Pool
+from shedgrade.lifecycle import early
 from shedgrade.lifecycle.config import Config, ConfigError, load
 from shedgrade.lifecycle.orders import OrderBook
 from shedgrade.lifecycle.shape import lost, tuned
@@ -23,7 +24,11 @@
 from shedgrade.wire.discovery import ListError
 
 KEEP_ACCEPTING = 0.5    # s after SIGTERM: new connections may still come for 0.4 s
-AT_LAST = 0.6           # s beyond the longest hard deadline after which what is left is cut: SIGKILL is near
+KEEP_IDLE = 0.4         # s after SIGTERM: a request that crosses the close of its connection comes anew, and
+                        # is to find somebody who still accepts
+AT_LAST = 0.6           # s beyond the longest hard deadline after which what is left is answered and cut:
+                        # SIGKILL comes 0.1 s later at the soonest
+LEAVES = 0.06           # s that such last answers have to leave
 LOOK_AFTER = 0.25       # s between two looks for clients that are overdue: they are owed an end within 3 s
 LOOK = 0.05             # s between two looks at whether all is answered and closed
 SETTLES = 1.0           # s of standing by after which idle connections are closed: new ones come for 0.3 s,
@@ -192,6 +197,7 @@
         self.loop.set_exception_handler(self.fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.drain)
+        reload_asked = early.reload_asked()
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.pool.saved is not None:
             self.pool.saved.open()
@@ -218,6 +224,8 @@
         gc.freeze()     # what is here now stays: collections need not look at it again
         self.enter(Phase.SERVING)
         self.upgrade.serving()
+        if reload_asked:
+            self.reload()
         await self.done.wait()
         self.upgrade.close()
         if self.admin is not None:
@@ -246,8 +254,11 @@
         if self.phase in (Phase.SERVING, Phase.STANDING_BY):
             self.unsettle()
             self.enter(Phase.DRAINING)
+            # What a reload may make of deadlines moves it no more: SIGKILL was set when SIGTERM was sent.
             self.last_look = self.loop.time() + self.pool.longest + AT_LAST
+            self.loop.call_later(KEEP_IDLE, self.front.close_idle)
             self.loop.call_later(KEEP_ACCEPTING, self.stop_accepting)
+            self.loop.call_at(self.last_look, self.conclude)
 
     def look_after_clients(self) -> None:
         if self.phase is not Phase.CLOSED:
@@ -273,11 +284,23 @@
         self.front.close_idle()
         for part in self.parts:
             part.close_idle()
-        busy = len(self.front.clients) + len(self.pool.turn.in_hand) + sum(part.busy() for part in self.parts)
-        late = self.loop.time() >= self.last_look
-        if late:
-            logger.warning("{} connections cut at the end", len(self.front.clients))
-        if busy and not late:
+        if self.busy():
             self.loop.call_later(LOOK, self.close_idle)
         else:
             self.done.set()
+
+    def busy(self) -> int:
+        """Connections and RPCs that are still to end."""
+        return len(self.front.clients) + len(self.pool.turn.in_hand) + sum(part.busy() for part in self.parts)
+
+    def conclude(self) -> None:
+        """Whatever is left at the end gets its final answer while that can still leave."""
+        if self.done.is_set():
+            return
+        pools = [self.pool, *(pool for part in self.parts for pool in getattr(part, "pools", {}).values()
+                              if pool is not self.pool)]
+        logger.warning("{} connections cut at the end, {} RPCs answered before", len(self.front.clients),
+                       sum(len(pool.turn.in_hand) for pool in pools))
+        for pool in pools:
+            pool.turn.conclude()
+        self.loop.call_later(LEAVES, self.done.set)
--- a/shedgrade/memory/in_hand.py
+++ b/shedgrade/memory/in_hand.py
@@ -32,9 +32,10 @@
     The client is told the end by one call of `completed(answer)`, `exhausted(wait)` or `errored()`: whatever
     protocol it speaks, that is all the turn knows of it. A stream's client is told `opened(link)` before
     that; from then on it counts in flight where it is, is never sent elsewhere, and its end is the end of
-    both sides.
+    both sides. Before anything is sent it is asked whether it `has_left()`, and told to `close()` if so.
     """
-    __slots__ = ("client", "request", "rpc", "out", "done", "opened", "tickets", "who", "coming", "wait")
+    __slots__ = ("client", "request", "rpc", "out", "done", "opened", "tickets", "who", "coming", "wait",
+                 "looked")
 
     def __init__(self, client: object, request: Request, who: str = "") -> None:
         """`who`: the name under which its connection has logged in, if it has."""
@@ -42,6 +43,7 @@
         self.rpc, self.done, self.opened = None, False, False
         self.coming = request.flow is not None      # its last byte is not here
         self.wait = 0               # ms that the client waits, from its last byte
+        self.looked = 0             # when its client was last seen to be there
         self.tickets: tuple = ()    # of the gates that let it in
         self.out: dict[int, Transmission] = {}
 
--- a/shedgrade/tunnel/listener.py
+++ b/shedgrade/tunnel/listener.py
@@ -156,6 +156,18 @@
         self.refuse("errored")
         self.finish()
 
+    def has_left(self) -> bool:
+        """Gone for good, be it that the loop has not seen it: a half that is closed may still want its
+        tunnel."""
+        if self.lost or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), 0)
+        return bool(poll.poll(0))       # an error or a hang-up is told unasked
+
+    def close(self) -> None:
+        self.finish()
+
     def finish(self) -> None:
         if not self.transport.is_closing():
             self.transport.close()
--- a/shedgrade/turn.py
+++ b/shedgrade/turn.py
@@ -15,6 +15,8 @@
 from shedgrade.memory.in_hand import Answer, Carried, InHand, Transmission
 
 STILL = 100_000     # tenths of a ms without a byte of a long answer after which it is held to be broken
+LOOKED = 100        # tenths of a ms after which a client is looked at again: it is owed 300 ms
+OVER = 10**8        # tenths of a ms, over any deadline: so much later all time is up
 ALLOWANCE = 20      # tenths of a ms that an answer takes out of here at the least, on an idle loop
 MOST_ALLOWED = 50   # of lateness, well within a tick: retries are told by how long their clients wait
 
@@ -35,6 +37,7 @@
         self.numbers = count()
         self.timer, self.timer_at, self.scheduled = None, None, False
         self.lag = 0.0                      # how late turns have been lately, tenths of a millisecond
+        self.concluding = False             # the process ends now: finals only
 
     # --- gathering: called by connections, discovery and the timer
 
@@ -98,6 +101,17 @@
         """Of what cold upstreams may get, this much is this process's: an upgrade has two."""
         self.gather(lambda now: self.balancer.divided(part))
 
+    def conclude(self) -> None:
+        """The process ends now: whatever is in hand gets its final answer, and nothing more is sent."""
+        self.concluding = True
+        self.run()
+        for carried in list(self.in_hand.carried):
+            for transmission in list(carried.out.values()):
+                outcome = decide.STOPPED if self.caller.stop(transmission) else decide.UNSENT
+                self.ended(transmission, outcome, None)
+            self.gather(self.ask_again, carried)
+        self.run()
+
     def export(self) -> dict:
         """What the decisions have learnt, as plain data."""
         return lasting.export(self.balancer, self.clock.now())
@@ -132,12 +146,25 @@
             for carried in args:
                 carried = carried.carried if isinstance(carried, Transmission) else carried
                 if isinstance(carried, Carried) and not carried.done:
-                    self.finish(carried)
-                    carried.client.errored()
+                    self.guarded(self.give_up, carried)
+
+    def give_up(self, carried: Carried) -> None:
+        """A fault met it: it is answered, nothing of it stays out, and the decisions hold it no longer."""
+        out = list(carried.out.values())
+        self.finish(carried)
+        if carried.opened:
+            carried.client.completed(None)
+        else:
+            carried.client.errored()
+        for transmission in out:
+            self.caller.stop(transmission)
+            self.events.append((self.end, (transmission, decide.STOPPED, None, self.clock.now())))
+        if carried.rpc is not None:
+            carried.rpc.gone(self.clock.now())
 
     def due(self, now: int) -> None:
         for rpc in self.balancer.due(now):
-            self.decide(now, rpc.tag)
+            self.guarded(self.decide, now, rpc.tag)
         self.balancer.wants_list(now)   # the watch always follows on by itself
 
     def set_timer(self) -> None:
@@ -166,6 +193,12 @@
              tenant: int = 0) -> None:
         if carried.done:
             return
+        if carried.client.has_left():
+            # Guards against work for nobody: a request that waited unread comes before its client's end.
+            self.finish(carried)
+            carried.client.close()
+            return
+        carried.looked = now
         for gate in self.gates:
             got = gate.enter(now, carried, method, retry, self.balancer.luck(method))
             if isinstance(got, int):
@@ -244,8 +277,12 @@
             self.actions.append((self.caller.withdraw, (upstream,)))
         self.actions.append((told, ()))
 
+    def ask_again(self, now: int, carried: Carried) -> None:
+        if not carried.done:
+            self.decide(now, carried)
+
     def decide(self, now: int, carried: Carried) -> None:
-        answer = carried.rpc.decide(now)
+        answer = carried.rpc.decide(now + OVER * self.concluding)
         if answer is None:
             return
         what, value = answer
@@ -290,11 +327,33 @@
     # --- what is carried out
 
     def transmit(self, transmission: Transmission, now: int) -> None:
-        # Guards against a client that left in the same turn: nothing is sent for it any more.
-        if transmission.still_out() and not transmission.carried.done:
-            self.caller.transmit(transmission, now)
-            if transmission.dial_until is not None and transmission.dial_until < transmission.until:
-                self.limit(transmission, transmission.dial_until)
+        if not self.wanted(transmission, now):
+            self.ended(transmission, decide.UNSENT, None)
+            return
+        self.caller.transmit(transmission, now)
+        if transmission.dial_until is not None and transmission.dial_until < transmission.until:
+            self.limit(transmission, transmission.dial_until)
+
+    def wanted(self, transmission: Transmission, now: int) -> bool:
+        """Asked right before the first byte is sent: somebody waits, there is time, the upstream takes RPCs.
+
+        Guards against what crossed the wait before it, for a turn or for a connection to come up: a drain,
+        the end of its time, a client that left. That client's end may be unread yet, as reads are paused
+        while much of it is unread, or the loop was held up.
+        """
+        carried = transmission.carried
+        if carried.done or not transmission.still_out() or now >= transmission.until:
+            return False
+        up = self.balancer.ups.get(transmission.upstream)
+        if up is None or not up.listed:
+            return False
+        if now - carried.looked > LOOKED:
+            if carried.client.has_left():
+                self.left(carried)
+                carried.client.close()
+                return False
+            carried.looked = now
+        return True
 
     def expire(self, now: int) -> None:
         """Transmissions whose time is up, or whose connection did not come up in time."""
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -26,6 +26,7 @@
            409: b"Conflict", 413: b"Content Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 BACKLOG = 1024          # connections that the kernel holds while the loop is busy
 AT_ONCE = 32            # connections accepted in one pass of the loop: what is open gets its turn too
+BETWEEN = 10.0          # s between two lines about the same trouble
 PAUSE = 0.005           # s until there may be room again: what was closed is gone by then
 COMES = 2.0             # s within which a connection's first request must begin
 HEAD = 2.5              # s from its first byte within which a head must be whole: slow clients take 2
@@ -58,6 +59,7 @@
         self.out: Flow | None = None        # of a long answer that is still being written
         self.chunked = self.answering = False   # so it is written; it has begun and its RPC has not ended
         self.waking = False                 # a pass that reads on is due
+        self.poll: select.poll | None = None    # for its client's end
         self.verb, self.old = b"", False    # of the request in hand; `old`: of HTTP/1.0
         self.mark = (0, 0.0)                # bytes that had come, or gone, and when that was looked at
         self.came = self.gone = self.counted = 0
@@ -169,13 +171,14 @@
         handle = self.transport.get_extra_info("socket").fileno()
         return fcntl.ioctl(handle, termios.FIONREAD, b"\0\0\0\0") != b"\0\0\0\0"
 
-    def ended(self) -> bool:
-        """Its client's end of file, or a reset, waits in the kernel."""
+    def has_left(self) -> bool:
+        """Its client's end of file, or a reset, is here, be it unread in the kernel."""
         if self.transport.is_closing():
             return True
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        if self.poll is None:
+            self.poll = select.poll()
+            self.poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(self.poll.poll(0))
 
     def unanswered(self) -> bool:
         """Requests that are whole and have no answer yet, or an answer that is still being written."""
@@ -283,8 +286,13 @@
 
     def go_on(self) -> None:
         self.waking = False
-        if self.parser is not None:
-            self.read()
+        if self.parser is None:
+            return
+        if self.flow is not None and not self.flow.discarding and self.has_left():
+            # Guards against work for nobody: the rest of a long request waits here, and its client has left.
+            self.close()
+            return
+        self.read()
 
     def flushed(self) -> None:
         if self.out is not None:
@@ -403,8 +411,8 @@
             self.refuse(400)
             return
         # Guards against work for nobody after a stall of our own: the request is read before the end of its
-        # connection, whose client left meanwhile.
-        if self.front.stalled() and self.ended():
+        # connection, whose client left meanwhile. Whatever waits longer is looked at again when it is sent.
+        if self.front.stalled() and self.has_left():
             self.close()
             return
         if name in self.front.turn.in_hand.names:
@@ -510,7 +518,8 @@
     def head(self, status: int, headers: list, framing: bytes) -> bytes:
         self.since = self.front.loop.time()
         ending = self.front.leaving() or self.front.crowded()
-        if ending and not (self.requests or self.begun or self.incoming):
+        # Guards requests that came early: what has been sent here was taken, though it is unread.
+        if ending and not (self.requests or self.begun or self.incoming or self.unread()):
             self.last = True
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"OK"))]
         lines += [b"%s: %s\r\n" % pair for pair in headers]
@@ -551,6 +560,7 @@
         self.socket.setblocking(False)
         self.tasks = front.accepting
         self.accepting = self.handed_over = False
+        self.told = -BETWEEN
 
     def hand_over(self, other: bool) -> None:
         """Another process accepts from the same socket, whatever waits there included; or no more."""
@@ -587,7 +597,12 @@
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as failure:
-                logger.warning("accepting failed: {}", failure.strerror)
+                # Guards against a loop that spins: what waits stays there, so it is asked again in a while.
+                if self.loop.time() >= self.told + BETWEEN:
+                    self.told = self.loop.time()
+                    logger.warning("accepting failed: {}", failure.strerror)
+                self.pause()
+                self.loop.call_later(PAUSE, self.resume)
                 return
             task = self.loop.create_task(self.take(connection))
             self.tasks.add(task)
--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -411,15 +411,19 @@
             link.abort()
         elif link.transport.is_closing():
             self.turn.ended(transmission, decide.UNSENT if self.proxied else decide.BROKEN, None)
+        elif not self.turn.wanted(transmission, now := self.clock.now()):
+            link.abort()
+            self.turn.ended(transmission, decide.UNSENT, None)
         else:
             transmission.dial_until = None
-            link.begin(transmission, self.clock.now())
+            link.begin(transmission, now)
 
     def stop(self, transmission: Transmission) -> bool:
         """Stops waiting; False if it never ran: its connection was not up or not all was sent."""
         task = self.dials.pop(transmission, None)
         if task is not None:
             task.cancel()
+            self.count()
             return False
         link = transmission.link
         if link is None or link.transmission is not transmission:
@@ -483,7 +487,10 @@
         self.count()
 
     def withdraw(self, upstream: int) -> None:
-        """Nothing more goes there: idle connections are closed, and what was not sent is decided anew."""
+        """Nothing more goes there: idle connections are closed, and what was not sent is decided anew.
+
+        Guards against a drain whose grace is over by the time a connection that is dialled comes up.
+        """
         self.forget(upstream)
         self.leaving(upstream)
         for transmission in [one for one in self.dials if one.upstream == upstream]:
--- /dev/null
+++ b/tests/crossings/test_left.py
@@ -0,0 +1,222 @@
+"""A request whose client has left while it waited is not sent on, wherever it waited."""
+import asyncio
+import time
+
+import pytest
+from crossings.peers import Client, Crossed
+from helpers import PATIENT, ask, method, on_sockets, request, until
+
+from shedgrade import decide
+
+AGAIN = method("repeatable", soft=2e4, hard=2e4)
+WAYS = pytest.mark.parametrize("reset", [False, True], ids=["fin", "rst"])
+
+
+@WAYS
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_while_a_connection_is_dialled_for_it(reset, cancelling):
+    @on_sockets
+    async def scenario():
+        async with Crossed(upstreams=2, cancelling=cancelling) as world:
+            world.gate.clear()
+            gone, stays = Client(world), Client(world)
+            await gone.flood(world, request(b"gone", name="g"))
+            stays.send(request(b"stays", name="s"))
+            await until(lambda: len(world.dialled) == 2)
+            gone.leave(reset)
+            await asyncio.sleep(0.05)
+            world.gate.set()
+            await until(lambda: b"stays" in world.bodies())
+            await world.quiet()
+            assert world.bodies() == [b"stays"]
+            assert not world.sidecar.pool.balancer.flight
+            stays.leave(False)
+    scenario()
+
+
+@WAYS
+def test_while_a_connection_is_dialled_for_it_and_its_end_is_read(reset):
+    """Where a transmission may not be stopped, one that has not begun may be."""
+    @on_sockets
+    async def scenario():
+        async with Crossed(cancelling=False) as world:
+            world.gate.clear()
+            gone = Client(world)
+            gone.send(request(b"gone", name="g"))
+            await until(lambda: world.dialled)
+            gone.leave(reset)
+            await until(lambda: not world.sidecar.pool.turn.in_hand)
+            world.gate.set()
+            await until(lambda: not world.sidecar.pool.caller.dials)
+            await world.quiet()
+            assert world.bodies() == [] and not world.sidecar.pool.balancer.flight
+            assert (await ask(world))[0] == 200
+    scenario()
+
+
+@WAYS
+def test_unread_while_the_loop_is_held_up_for_less_than_a_stall(reset):
+    @on_sockets
+    async def scenario():
+        async with Crossed(upstreams=2) as world:
+            for number in range(2):     # a kept connection to each: nothing is dialled below
+                assert (await ask(world, request(name=f"w{number}")))[0] == 200
+            await asyncio.sleep(0.3)
+            gone, stays = [Client(world) for _ in range(200)], Client(world)
+            await until(lambda: len(world.sidecar.front.clients) == 201)
+            for number, one in enumerate(gone):
+                one.send(request(b"gone", name=f"g{number}"))
+                one.leave(reset)
+            stays.send(request(b"stays", name="s"))
+            time.sleep(0.4)         # the whole process stands still, as by SIGSTOP
+            await until(lambda: b"stays" in world.bodies())
+            await world.quiet()
+            assert b"gone" not in world.bodies()
+            stays.leave(False)
+    scenario()
+
+
+@WAYS
+def test_not_accepted_while_there_is_no_room(reset):
+    @on_sockets
+    async def scenario():
+        async with Crossed(upstreams=2) as world:
+            for number in range(2):
+                assert (await ask(world, request(name=f"w{number}")))[0] == 200
+            await asyncio.sleep(0.01)
+            world.sidecar.listener.pause()
+            gone, stays = [Client(world) for _ in range(200)], Client(world)
+            for number, one in enumerate(gone):
+                one.send(request(b"gone", name=f"g{number}"))
+                one.leave(reset)
+            stays.send(request(b"stays", name="s"))
+            world.sidecar.listener.resume()
+            await until(lambda: b"stays" in world.bodies())
+            await world.quiet()
+            assert b"gone" not in world.bodies()
+            stays.leave(False)
+    scenario()
+
+
+@WAYS
+def test_behind_an_earlier_request_of_its_connection(reset):
+    @on_sockets
+    async def scenario():
+        async with Crossed(held=(0,)) as world:
+            gone = Client(world)
+            await gone.flood(world, request(b"first", name="f") + request(b"second", name="s"))
+            await until(lambda: world.sent() == 1)
+            gone.leave(reset)
+            await asyncio.sleep(0.05)
+            world.release.set()
+            await world.quiet()
+            assert world.bodies() == [b"first"]
+            await until(lambda: not world.sidecar.front.clients)
+    scenario()
+
+
+@WAYS
+def test_held_by_the_decisions(reset):
+    @on_sockets
+    async def scenario():
+        async with Crossed(held=(0,)) as world:
+            balancer = world.sidecar.pool.balancer
+            world.release.set()
+            for number in range(20):    # what is quick is waited for
+                assert (await ask(world, request(b"first", name=f"w{number}")))[0] == 200
+            world.release.clear()
+            first = asyncio.create_task(ask(world, request(b"first", name="f")))
+            await until(lambda: world.sent() == 21)
+            balancer.choose, choose = lambda now, rpc, stay: None, balancer.choose
+            gone = Client(world)
+            await gone.flood(world, request(b"gone", name="g"))
+            await until(lambda: balancer.held)
+            gone.leave(reset)
+            await asyncio.sleep(0.05)
+            balancer.choose = choose
+            world.release.set()
+            assert (await first)[0] == 200
+            await world.quiet()
+            assert set(world.bodies()) == {b"first"} and not balancer.flight
+    scenario()
+
+
+@WAYS
+def test_between_two_tries(reset):
+    @on_sockets
+    async def scenario():
+        async with Crossed(upstreams=2, methods=[AGAIN], held=(0, 1)) as world:
+            gone = Client(world)
+            await gone.flood(world, request(b"gone", name="g"))
+            await until(lambda: world.sent() == 1)
+            gone.leave(reset)
+            await asyncio.sleep(0.05)
+            for upstream in world.upstreams:    # it is cut, and would be tried again
+                for writer in list(upstream.writers):
+                    writer.transport.abort()
+            await world.quiet()
+            assert world.bodies() == [b"gone"] and not world.sidecar.pool.balancer.flight
+    scenario()
+
+
+@on_sockets
+async def test_one_whose_client_stays_is_tried_again_elsewhere():
+    """The same crossing with a client that waits: nothing is kept from it."""
+    async with Crossed(upstreams=2, methods=[AGAIN], held=(0, 1)) as world:
+        stays = Client(world)
+        await stays.flood(world, request(b"stays", name="g"))
+        await until(lambda: world.sent() == 1)
+        for upstream in world.upstreams:
+            for writer in list(upstream.writers):
+                writer.transport.abort()
+        await until(lambda: world.bodies().count(b"stays") == 2)
+        stays.leave(True)
+
+
+@WAYS
+def test_the_rest_of_a_long_one_that_is_still_to_be_sent(reset):
+    """Its last byte is what begins it at an upstream."""
+    @on_sockets
+    async def scenario():
+        async with Crossed(methods=[PATIENT]) as world:
+            world.gate.clear()
+            gone = Client(world)
+            raw = request(b"y" * 200_000, name="g")
+            sent = 0
+            while sent < len(raw):
+                try:
+                    sent += gone.socket.send(raw[sent:])
+                except BlockingIOError:
+                    await asyncio.sleep(0.002)
+                if sent >= len(raw) // 2 and not world.dialled:
+                    await until(lambda: world.dialled)
+            await until(lambda: world.dialled)
+            link = next(iter(world.sidecar.front.clients))
+            await until(lambda: link.reading_paused or link.flow is None or link.flow.full())
+            gone.leave(reset)
+            await asyncio.sleep(0.05)
+            world.gate.set()
+            await until(lambda: not world.sidecar.pool.turn.in_hand)
+            await world.quiet()
+            assert world.bodies() == [] and not world.sidecar.pool.balancer.flight
+    scenario()
+
+
+@on_sockets
+async def test_nothing_is_held_against_an_upstream_for_it():
+    async with Crossed(cancelling=False) as world:
+        told = []
+        ended, decide.Rpc.ended = decide.Rpc.ended, lambda rpc, now, tx, outcome, *more: (
+            told.append(outcome), ended(rpc, now, tx, outcome, *more))[1]
+        try:
+            world.gate.clear()
+            gone = Client(world)
+            gone.send(request(b"gone", name="g"))
+            await until(lambda: world.dialled)
+            gone.leave(False)
+            await until(lambda: not world.sidecar.pool.turn.in_hand)
+            world.gate.set()
+            await until(lambda: told)
+            assert told == [decide.UNSENT]
+        finally:
+            decide.Rpc.ended = ended
--- a/tests/test_in_memory.py
+++ b/tests/test_in_memory.py
@@ -66,6 +66,9 @@
     def errored(self):
         self.finals.append("errored")
 
+    def has_left(self):     # unseen by the turn; what it was told of is in `left`
+        return False
+
 
 class Day:
     """A turn with a stand-in for everything round it; holds what it does against what is allowed."""
