Tests that force what crosses at the end, the start and in the list of a sidecar

Sound as found, with a test each: a second SIGTERM and a reload while draining, a dial stopped in the pass in which it comes up, a kept connection that breaks behind a whole request, a reload with an answer under way.

--- /dev/null
+++ b/tests/crossings/test_end.py
@@ -0,0 +1,294 @@
+"""The end of a process, and its start, where two events cross: signals, requests in hand, connections that
+close."""
+import asyncio
+import os
+import shlex
+import signal
+import socket
+import subprocess
+import time
+import tomllib
+from pathlib import Path
+
+import orjson
+import pytest
+from crossings.peers import Client, Crossed
+from helpers import PATIENT, SILENT, Server, ask, message, method, on_sockets, read_message, request, until
+
+from shedgrade.lifecycle import early
+from shedgrade.lifecycle import sidecar as lifecycle
+from shedgrade.lifecycle.sidecar import Phase
+
+ROOT = Path(__file__).parents[2]
+
+
+@pytest.mark.parametrize("kind, status", [("repeatable", 503), ("once", 502)])
+def test_what_is_in_hand_at_the_last_look_gets_its_final_answer_first(kind, status):
+    """The process ended with it: its client saw a connection that broke."""
+    @on_sockets
+    async def scenario():
+        async with Crossed(upstreams=2, held=(0, 1), methods=[method(kind, soft=2e4, hard=2e4)]) as world:
+            asking = [asyncio.create_task(ask(world, request(b"one", name=name))) for name in ("a1", "a2")]
+            await until(lambda: world.sent() == 2)
+            world.sidecar.pool.longest = -lifecycle.AT_LAST + 0.1
+            world.sidecar.drain()
+            await world.serving
+            await asyncio.sleep(0.05)
+            assert all(one.done() for one in asking)    # the process would be gone now
+            assert [(await one)[0] for one in asking] == [status] * 2
+            assert world.sidecar.phase is Phase.CLOSED and world.sent() == 2    # no further try
+    scenario()
+
+
+@on_sockets
+async def test_what_is_dialled_or_unread_at_the_last_look_is_exhausted():
+    async with Crossed(upstreams=2, methods=[PATIENT]) as world:
+        world.gate.clear()
+        asking = asyncio.create_task(ask(world, request(b"one")))
+        await until(lambda: world.dialled)
+        world.sidecar.drain()
+        late = asyncio.create_task(ask(world, request(b"two", name="a2")))
+        await until(lambda: len(world.sidecar.pool.turn.in_hand) == 2)
+        world.sidecar.conclude()
+        assert [(await one)[0] for one in (asking, late)] == [503, 503]
+        await world.serving
+        assert not world.bodies()
+
+
+@on_sockets
+async def test_a_long_answer_that_is_under_way_at_the_last_look_is_seen_to_be_cut():
+    async def endless(head, body):
+        return b"HTTP/1.1 200 X\r\nContent-Length: 500000\r\n\r\n" + b"z" * 100_000
+    async with Crossed(upstreams=1, methods=[PATIENT]) as world:
+        world.upstreams[0].script = endless
+        reader, writer = await world.connect()
+        writer.write(request(b"one"))
+        await reader.readuntil(b"\r\n\r\n")
+        world.sidecar.drain()
+        world.sidecar.conclude()
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+            await reader.readexactly(500_000)
+        await world.serving
+        writer.close()
+
+
+@on_sockets
+async def test_a_second_sigterm_and_a_reload_move_the_last_look_no_more():
+    async with Crossed(upstreams=1, held=(0,), methods=[PATIENT]) as world:
+        asking = asyncio.create_task(ask(world, request(b"one")))
+        await until(lambda: world.sent() == 1)
+        world.sidecar.drain()
+        last = world.sidecar.last_look
+        world.sidecar.pool.longest *= 2
+        world.sidecar.drain()
+        world.sidecar.reload()      # its file is not there: refused, and nothing else
+        assert world.sidecar.last_look == last and world.sidecar.phase is Phase.DRAINING
+        world.release.set()
+        assert (await asking)[0] == 200
+        await world.serving
+
+
+@on_sockets
+async def test_idle_connections_close_while_somebody_still_accepts():
+    """A request that crosses the close of its connection comes anew at once, and is to find a listener."""
+    async with Crossed(upstreams=1) as world:
+        reader, writer = await world.connect()
+        assert (await ask(world, request(b"one"), (reader, writer)))[0] == 200
+        closed = []
+        close = world.sidecar.listener.close
+        world.sidecar.listener.close = lambda: (closed.append(1), close())
+        world.sidecar.drain()
+        assert await reader.read() == b"" and not closed
+        assert (await ask(world, request(b"two", name="a2")))[0] == 200     # as it comes anew
+        await world.serving
+        assert closed
+        writer.close()
+
+
+@on_sockets
+async def test_requests_that_came_early_are_answered_though_the_process_leaves():
+    """An answer said `Connection: close` while the next request was here and unread: closing reset it."""
+    async with Crossed(upstreams=1, held=(0,)) as world:
+        client = Client(world)
+        client.send(request(b"one", name="a1"))
+        await until(lambda: world.sent() == 1)
+        world.sidecar.drain()
+        link = next(iter(world.sidecar.front.clients))
+        link.transport.pause_reading()      # what comes now is unread when the first answer is written
+        client.send(request(b"two", name="a2"))
+        await asyncio.sleep(0.05)
+        world.release.set()
+        await until(lambda: link.carried is None)
+        link.transport.resume_reading()
+        reader, writer = await asyncio.open_connection(sock=client.socket)
+        async with asyncio.timeout(20):
+            answers = [await read_message(reader) for _ in range(2)]
+        assert [body for _, body in answers] == [b"one", b"two"]
+        assert "Connection: close" not in answers[0][0] and "Connection: close" in answers[1][0]
+        writer.close()
+        await world.serving
+
+
+def test_a_reload_asked_for_before_there_was_a_loop_is_carried_out(monkeypatch):
+    @on_sockets
+    async def scenario():
+        monkeypatch.setattr(early, "asked", True)
+        reloads = []
+        monkeypatch.setattr(lifecycle.Sidecar, "reload", lambda sidecar: reloads.append(sidecar.phase))
+        async with Crossed(upstreams=1):
+            assert reloads == [Phase.SERVING]
+    scenario()
+
+
+def test_sighup_at_any_moment_of_a_start_ends_nothing_and_the_newest_configuration_holds(tmp_path):
+    """All sidecars are restarted while a new configuration comes: a process that was being started was ended
+    by the signal. As the platform starts it, by the line `run`."""
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    python = Path(os.sys.executable)
+    if str(python) != str(ROOT / ".venv/bin/python"):
+        run = run.replace(".venv/bin/python", shlex.quote(str(python)))
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    path = tmp_path / "config.json"
+    text = {"name": "n", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1", "seed": "1f",
+            "limits": {"sockets": 1024, "memory_mb": 192}, "settings": Crossed().conf,
+            "known": {"generation": 1, "reset": True, "instances": []}}
+    path.write_bytes(orjson.dumps(text))
+    process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.PIPE,
+                               env={**os.environ, "GW_CONFIG": str(path), "TMPDIR": str(tmp_path)})
+    try:
+        os.set_blocking(process.stderr.fileno(), False)
+        said, end = b"", time.monotonic() + 30
+        time.sleep(0.02)        # the shell has taken up its line
+        while b"starting to serving" not in said and time.monotonic() < end and process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+            said += process.stderr.read() or b""
+        assert process.poll() is None and b"starting to serving" in said, said
+        fresh = path.with_suffix(".new")
+        fresh.write_bytes(orjson.dumps({**text, "discovery": "127.0.0.1:2"}))
+        fresh.rename(path)
+        process.send_signal(signal.SIGHUP)
+        os.set_blocking(process.stderr.fileno(), True)
+        for line in process.stderr:
+            if b"configuration read anew, discovery at 127.0.0.1:2" in line:
+                break
+        process.send_signal(signal.SIGTERM)
+        rest = process.stderr.read()
+        assert process.wait() == 0 and b"Traceback" not in rest
+    finally:
+        process.kill()
+        process.wait()
+
+
+@on_sockets
+async def test_a_kept_connection_that_closes_as_a_request_is_written_to_it_is_no_proof_that_it_ran_not():
+    """Half of the request left: it never ran. All of it left: it may have, and is not sent again."""
+    cut = []
+
+    async def late(head, body):
+        cut.append(body)
+        return message(200, body) if len(cut) != 2 else SILENT
+    async with Crossed(upstreams=1, methods=[PATIENT]) as world:
+        world.upstreams[0].script = late
+        reader, writer = await world.connect()
+        assert (await ask(world, request(b"one"), (reader, writer)))[0] == 200
+        await asyncio.sleep(0.01)
+        asking = asyncio.create_task(ask(world, request(b"two", name="a2"), (reader, writer)))
+        await until(lambda: len(cut) == 2)
+        for one in list(world.upstreams[0].writers):
+            one.transport.abort()
+        assert (await asking)[0] == 502 and cut == [b"one", b"two"]
+        writer.close()
+
+
+@on_sockets
+async def test_dials_that_are_given_up_give_their_descriptors_back():
+    async with Crossed(upstreams=2, methods=[PATIENT]) as world:
+        world.gate.clear()
+        clients = [Client(world) for _ in range(2)]
+        for number, client in enumerate(clients):
+            client.send(request(b"gone", name=f"g{number}"))
+        await until(lambda: world.dialled)
+        budget = world.sidecar.budget
+        assert budget.upstreams >= 1
+        for client in clients:
+            client.leave(True)
+        await until(lambda: not world.sidecar.pool.turn.in_hand)
+        await until(lambda: not world.sidecar.pool.caller.dials)
+        assert budget.upstreams == 0
+
+
+@on_sockets
+async def test_a_dial_stopped_in_the_pass_in_which_it_comes_up_is_closed_and_counted():
+    async with Crossed(upstreams=1, methods=[PATIENT]) as world:
+        caller = world.sidecar.pool.caller
+        direct, links = caller.direct, []
+
+        async def seen(factory, address):
+            def make():
+                link = factory()
+                made = link.connection_made
+
+                def up(transport):
+                    made(transport)
+                    links.append(link)
+                    caller.stop(next(iter(caller.dials)))   # before whoever dialled is told that it is up
+                link.connection_made = up
+                return link
+            return await direct(make, address)
+        caller.connect = seen
+        client = Client(world)
+        client.send(request(b"one"))
+        await until(lambda: links)
+        await until(lambda: world.upstreams[0].connections == 1 and not world.upstreams[0].writers)
+        assert not (caller.open or caller.dials or world.sidecar.budget.upstreams)
+        client.leave(True)
+        assert not world.bodies()
+
+
+@on_sockets
+async def test_accepting_that_fails_neither_spins_nor_floods_the_log():
+    from loguru import logger
+
+    async with Crossed(upstreams=1) as world:
+        lines = []
+        sink = logger.add(lines.append, level="WARNING", format="{message}")
+        listener = world.sidecar.listener
+        real, tries = listener.socket, []
+
+        class Broken:
+            def __getattr__(self, name):
+                return getattr(real, name)
+
+            def accept(self):
+                tries.append(1)
+                if len(tries) < 20:
+                    raise OSError(24, "Too many open files")
+                return real.accept()
+        listener.pause()
+        listener.socket = Broken()
+        listener.resume()
+        assert (await ask(world, request(b"one")))[0] == 200
+        logger.remove(sink)
+        assert len(tries) >= 20 and sum("accepting failed" in line for line in lines) == 1
+        listener.pause()
+        listener.socket = real
+        listener.resume()
+
+
+@on_sockets
+async def test_a_new_configuration_in_the_middle_of_an_answer_loses_neither():
+    """A reload drops the watch whose answer may be on its way: the whole list is asked for at once."""
+    async with Crossed(upstreams=2, methods=[PATIENT]) as world:
+        other = await Server(lambda head, _: message(200, orjson.dumps(
+            world.list(world.entry(0, "terminating"), world.entry(1), reset=True)))
+            if "after=" not in head[0] else SILENT).start()
+        # The old agent's answer is here, not yet handed over, as the list moves: the newer word holds.
+        pool = world.sidecar.pool
+        pool.listed(world.list(world.entry(0)))
+        host, port = other.address.split(":")
+        pool.move((host, int(port)))
+        await until(lambda: not pool.balancer.ups[0].listed)
+        assert (await ask(world, request(b"one")))[0] == 200 and world.upstreams[1].seen
+        other.stop()
--- /dev/null
+++ b/tests/crossings/test_list.py
@@ -0,0 +1,262 @@
+"""The list of upstreams where two events cross: watches that fall silent, outages, reloads, drains told while
+something is on its way."""
+import asyncio
+import json
+import re
+
+from crossings.peers import Client, Crossed
+from helpers import PATIENT, SILENT, Server, ask, message, method, on_sockets, request, until
+from loguru import logger
+
+from shedgrade.wire import discovery
+
+
+class Agent:
+    """Discovery by a script: a function of the call's target for each call in turn, then silence."""
+
+    def __init__(self, world, *answers):
+        self.world, self.answers, self.calls, self.connections = world, list(answers), [], []
+
+    async def __call__(self, head, body):
+        self.calls.append(head[0].split()[1])
+        if not self.answers:
+            return SILENT
+        answer = self.answers.pop(0)
+        answer = answer(self.calls[-1]) if callable(answer) else answer
+        return await answer if asyncio.iscoroutine(answer) else answer
+
+
+def waits(call):
+    found = re.search(r"wait_ms=(\d+)", call)
+    return int(found[1]) if found else None
+
+
+class Asked(Crossed):
+    """A sidecar whose discovery is an `Agent`, with times so short that a test may wait for them."""
+
+    def __init__(self, *answers, **more):
+        super().__init__(**more)
+        self.agent = Agent(self, *answers)
+
+    def discover(self, head, body):
+        self.watches += 1
+        return self.agent(head, body)
+
+    def listing(self, *entries, reset=False, generation=1):
+        return message(200, json.dumps({"generation": generation, "reset": reset,
+                                        "instances": list(entries)}).encode())
+
+    def whole(self, call=""):
+        return self.listing(*(self.entry(number) for number in range(len(self.upstreams))), reset=True)
+
+
+def quick(monkeypatch):
+    for name, value in (("WAIT", 200), ("SILENCE", 0.15), ("WHOLE", 0.4)):
+        monkeypatch.setattr(discovery, name, value)
+
+
+def test_what_a_silent_watch_misses_is_here_before_it_counts_as_told():
+    """6 s after it fell silent. It may be silent twice running, and a connect may hang between."""
+    pauses = discovery.FIRST_PAUSE + discovery.LONGEST_PAUSE
+    watch = discovery.WAIT / 1000 + discovery.SILENCE
+    assert watch + discovery.PROOF / 1000 + discovery.SILENCE + pauses < 6
+    # Calls that may not wait, and those after a failure: noticed well within the grace of a drain and a bit.
+    assert discovery.PROOF / 1000 + discovery.SILENCE < 1.5
+
+
+def test_a_watch_that_falls_silent_twice_running_is_opened_anew_each_time(monkeypatch):
+    quick(monkeypatch)
+
+    @on_sockets
+    async def scenario():
+        async with Asked(upstreams=2) as world:
+            drained = world.listing(world.entry(0, "terminating"), generation=2)
+            world.agent.answers += [SILENT, SILENT, drained]
+            before = len(world.agent.calls)
+            await until(lambda: world.sidecar.pool.reader.version == 2)
+            assert not world.sidecar.pool.balancer.ups[0].listed
+            # Those after a failure wait no longer than it takes to show that somebody is there.
+            assert all(waits(call) == discovery.PROOF for call in world.agent.calls[before + 1:before + 3])
+            assert world.discovery.connections >= 3
+    scenario()
+
+
+def test_a_call_that_may_not_wait_is_not_waited_for(monkeypatch):
+    """After a reload the whole list is asked for; that call was given the time of a watch."""
+    monkeypatch.setattr(discovery, "SILENCE", 0.15)
+
+    @on_sockets
+    async def scenario():
+        async with Asked(upstreams=1) as world:
+            host, port = world.discovery.address.split(":")
+            world.agent.answers += [SILENT, world.whole]
+            before = len(world.agent.calls)
+            world.sidecar.pool.move((host, int(port)))
+            await until(lambda: world.sidecar.pool.reader.version == 1)
+            assert [waits(call) for call in world.agent.calls[before:before + 2]] == [None, None]
+    scenario()
+
+
+def test_an_answer_that_stops_or_never_ends_is_given_up(monkeypatch):
+    quick(monkeypatch)
+
+    @on_sockets
+    async def scenario():
+        async with Asked(upstreams=1) as world:
+            whole = world.whole()
+            ended = []
+
+            async def serve(reader, writer):
+                try:
+                    number = len(ended)
+                    await reader.readuntil(b"\r\n\r\n")
+                    if number == 0:         # its head, and then nothing
+                        writer.write(whole[:40])
+                        await reader.read()
+                    elif number == 1:       # a byte now and then, for ever
+                        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n")
+                        while not reader.at_eof():
+                            writer.write(b" ")
+                            try:
+                                await asyncio.wait_for(reader.read(1), 0.05)
+                            except TimeoutError:
+                                pass
+                    else:
+                        writer.write(whole)
+                        await reader.read()
+                    ended.append(number)
+                finally:
+                    ended.append(None) if number > 1 else None
+                    writer.close()
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            world.sidecar.pool.move(server.sockets[0].getsockname())
+            await until(lambda: world.sidecar.pool.reader.version == 1)
+            server.close()
+    scenario()
+
+
+def test_a_connection_to_discovery_that_never_comes_up_is_given_up(monkeypatch):
+    monkeypatch.setattr(discovery, "SILENCE", 0.15)
+
+    @on_sockets
+    async def scenario():
+        async with Asked(upstreams=1) as world:
+            loop, tries = world.sidecar.loop, []
+
+            class Loop:
+                """The loop, whose first connection hangs."""
+
+                def __getattr__(self, name):
+                    return getattr(loop, name)
+
+                async def create_connection(self, *what):
+                    tries.append(what)
+                    if len(tries) == 1:
+                        await asyncio.Event().wait()
+                    return await loop.create_connection(*what)
+            world.agent.answers += [world.whole]
+            world.sidecar.pool.loop = Loop()
+            host, port = world.discovery.address.split(":")
+            world.sidecar.pool.move((host, int(port)))
+            await until(lambda: world.sidecar.pool.reader.version == 1)
+            assert len(tries) >= 2
+            world.sidecar.pool.loop = loop
+    scenario()
+
+
+def test_a_fault_of_our_own_does_not_end_the_watch():
+    async def scenario():
+        async with Crossed(upstreams=2) as world:
+            pool = world.sidecar.pool
+            withdraw, pool.caller.withdraw = pool.caller.withdraw, None     # what the list calls breaks
+            world.version += 1
+            world.changes.put_nowait(json.dumps(world.list(world.entry(0, "terminating"))).encode())
+            await until(lambda: pool.reader.version is None)
+            pool.caller.withdraw = withdraw
+            watches = world.watches
+            await until(lambda: world.watches > watches and pool.reader.version is not None)
+            await world.tell(world.entry(1, "terminating"))
+            assert not pool.balancer.ups[1].listed
+
+    lines = []
+    sink = logger.add(lines.append, level="ERROR", format="{message}")
+    try:
+        asyncio.run(scenario())
+    finally:
+        logger.remove(sink)
+    assert len(lines) == 1 and "fault in the watch on discovery" in lines[0]
+
+
+@on_sockets
+async def test_a_dial_that_comes_up_after_a_drain_was_told_sends_nothing_there():
+    async with Crossed(upstreams=2, methods=[PATIENT]) as world:
+        world.gate.clear()
+        asking = asyncio.create_task(ask(world, request(b"one")))
+        await until(lambda: world.dialled)
+        first = world.dialled[0]
+        drained = next(number for number in range(2)
+                       if world.upstreams[number].address == f"{first[0]}:{first[1]}")
+        await world.tell(world.entry(drained, "terminating"))
+        world.gate.set()
+        assert (await asking)[0] == 200
+        assert not world.upstreams[drained].seen and world.upstreams[1 - drained].seen
+        assert not world.sidecar.pool.balancer.flight
+
+
+@on_sockets
+async def test_a_dial_that_comes_up_after_its_upstream_moved_sends_nothing_there():
+    async with Crossed(upstreams=1, methods=[PATIENT]) as world:
+        world.gate.clear()
+        asking = asyncio.create_task(ask(world, request(b"one")))
+        await until(lambda: world.dialled)
+        fresh = await Server(lambda head, body: message(200, body)).start()
+        await world.tell({**world.entry(0), "hostPort": fresh.address}, {
+            **world.entry(0, "terminating"), "instanceId": "s-other"})     # where it was, another one drains
+        world.gate.set()
+        assert (await asking)[0] in (200, 503)      # it is told at once, or sent where the upstream is now
+        assert not world.upstreams[0].seen
+        fresh.stop()
+
+
+@on_sockets
+async def test_a_drain_that_is_gathered_with_the_request_comes_first():
+    """Both are ready in one pass: what is decided before the drain is read is not dialled after it."""
+    met = 0
+    for drained in range(2):    # the first choice is one of the two
+        async with Crossed(upstreams=2, methods=[PATIENT]) as world:
+            pool, front = world.sidecar.pool, world.sidecar.front
+            client = Client(world)
+            await until(lambda front=front: front.clients)
+            link = next(iter(front.clients))
+            decide, chosen = pool.turn.decide, []
+
+            def seen(now, carried, decide=decide, chosen=chosen):
+                decide(now, carried)
+                chosen.extend(one.upstream for one in carried.out.values())
+            pool.turn.decide = seen
+            raw = request(b"one")
+            link.get_buffer(len(raw))[:len(raw)] = raw
+            link.buffer_updated(len(raw))
+            world.version += 1
+            pool.listed(world.list(world.entry(drained, "terminating")))
+            await until(lambda world=world, pool=pool: world.bodies() and not pool.turn.in_hand)
+            assert not world.upstreams[drained].seen and world.upstreams[1 - drained].seen
+            assert chosen[-1] == 1 - drained
+            met += chosen[0] == drained
+            client.leave(False)
+    assert met == 1
+
+
+@on_sockets
+async def test_a_dial_whose_time_is_over_as_it_comes_up_sends_nothing():
+    async with Crossed(upstreams=1, methods=[method("once", soft=200.0, hard=200.0)]) as world:
+        pool = world.sidecar.pool
+        world.gate.clear()
+        asking = asyncio.create_task(ask(world, request(b"one", wait=200)))
+        await until(lambda: world.dialled)
+        expire, pool.turn.expire = pool.turn.expire, lambda now: None       # the turn is late
+        await asyncio.sleep(0.25)
+        world.gate.set()
+        status, _, _ = await asking
+        pool.turn.expire = expire
+        assert status == 503 and not world.bodies()
