Calls for lists that wait in turn are waited for, and come again later when turned away

Lines at fault: DiscoveryWatch.run, one pause for silence and for being turned away; once, one limit for agents that answer at once and services whose calls wait in turn. Change: where lists are asked for the first call has 3 s, and whoever is turned away comes again after up to 2 s; silence is met within 0.25 s as before.

--- a/shedgrade/core/pool.py
+++ b/shedgrade/core/pool.py
@@ -46,6 +46,7 @@
     def take_settings(self, settings: dict) -> tuple[int, int]:
         """What the pool itself has of them. Returns the limits of a dial and of an idle connection."""
         self.tenants = len(settings.get("customers", ()))
+        self.asks = settings["membership_mode"] == "on_request"
         self.methods = {method["name"].encode(): number
                         for number, method in enumerate(settings["methods"])}
         self.longest = max(method["hard_deadline"] for method in settings["methods"]) / 1000
@@ -93,7 +94,7 @@
 
     def follow(self, address: tuple[str, int]) -> None:
         self.watch = DiscoveryWatch(self.loop, address, self.reader, self.listed, self.turn.list_failed,
-                                    self.balancer.span)
+                                    self.balancer.span, self.asks)
         self.watching = self.loop.create_task(self.watch.run())
 
     def unfollow(self) -> None:
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -16,9 +16,12 @@
                         # silent; before that it is noticed here, opened anew and answered, or once more
 PROOF = 100             # ms that the first call after a failure waits: its answer shows who answers
 SILENCE = 1.0           # s beyond that wait, or behind some bytes, after which discovery counts as silent
+IN_TURN = 3.0           # the same for the first call where lists are asked for and calls wait in turn: one
+                        # that is given up sooner was served for nobody (60 sidecars, a probe: nobody was)
 WHOLE = 4.0             # s from its first byte within which an answer must be whole, however it drips
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.25     # s before the next try: it is an agent on this machine, and
                         # what it gets when an outage ends counts at once, so a call should be open by then
+TURNED_AWAY = 2.0       # s at the longest where it speaks, but has no list: it has too much to do
 LONGEST_LIST = 8 * 1024 * 1024      # bytes: tens of thousands of upstreams
 STATES = {"in_service": decide.READY, "terminating": decide.DRAINING, "terminated": decide.REMOVED}
 
@@ -136,11 +139,13 @@
     """Keeps the list up to date for as long as the sidecar runs."""
 
     def __init__(self, loop, address: tuple[str, int], reader: ListReader, tell: Callable, failed: Callable,
-                 span: Callable[[float, float], float]) -> None:
+                 span: Callable[[float, float], float], in_turn: bool = False) -> None:
+        """`in_turn`: lists are asked for, and calls wait in turn."""
         self.loop, self.address, self.reader = loop, address, reader
         self.tell, self.failed, self.span = tell, failed, span
         self.host = f"{address[0]}:{address[1]}".encode()
         self.link: DiscoveryConnection | None = None
+        self.patience = IN_TURN if in_turn else SILENCE
         self.proven = False     # whoever is called here has answered since something last failed
 
     async def run(self) -> None:
@@ -163,7 +168,7 @@
                 down = True
                 self.failed()
                 await asyncio.sleep(pause * self.span(0.5, 1.0))
-                pause = min(2 * pause, LONGEST_PAUSE)
+                pause = min(2 * pause, TURNED_AWAY if isinstance(failure, ListError) else LONGEST_PAUSE)
                 continue
             if down:
                 logger.info("discovery answers again, generation {}", self.reader.version)
@@ -183,7 +188,7 @@
             target += b"?after=%d&wait_ms=%d" % (self.reader.version, wait)
         answered = self.loop.create_future()
         self.link.call(target, self.host, answered)
-        status, body = await self.whole(answered, wait / 1000 + SILENCE)
+        status, body = await self.whole(answered, wait / 1000 + (SILENCE if self.proven else self.patience))
         if status != 200:
             raise ListError(f"status {status}")
         try:
--- /dev/null
+++ b/tests/crossings/test_faults.py
@@ -0,0 +1,81 @@
+"""A fault of our own in the middle of something else: it costs the RPC that met it."""
+import asyncio
+
+import pytest
+from crossings.peers import Crossed
+from helpers import PATIENT, ask, method, on_sockets, request, until
+
+AGAIN = method("repeatable", soft=2e4, hard=2e4)
+
+
+def faulty(scenario, times):
+    """The scenario ends with that many faults in the log, and nothing else that is wrong."""
+    with pytest.raises(AssertionError) as found:
+        on_sockets(scenario)()
+    lines = found.value.args[0]
+    assert isinstance(lines, list) and len(lines) == times, lines
+    assert all("fault in decide" in one for one in lines), lines
+
+
+def warm(world):
+    async def some():
+        world.release.set()
+        for number in range(20):
+            assert (await ask(world, request(b"w", name=f"w{number}")))[0] == 200
+        world.release.clear()
+    return some()
+
+
+def test_in_what_is_due_it_costs_neither_what_is_behind_it_nor_an_answer():
+    """One of three that are held met it: it never had an answer, and the two behind it waited for it."""
+    async def scenario():
+        async with Crossed(upstreams=1, held=(0,), methods=[PATIENT]) as world:
+            balancer = world.sidecar.pool.balancer
+            await warm(world)
+            first = asyncio.create_task(ask(world, request(b"first", name="f")))
+            await until(lambda: world.sent() == 21)
+            balancer.choose, choose = lambda now, rpc, stay: None, balancer.choose
+            rest = [asyncio.create_task(ask(world, request(b"h", name=name))) for name in ("h1", "h2", "h3")]
+            await until(lambda: len(balancer.held) == 3)
+            poor = balancer.held[0][3]
+
+            def broken(now, rpc, stay):
+                if rpc is poor:
+                    raise ZeroDivisionError
+                return choose(now, rpc, stay)
+            balancer.choose = broken
+            world.release.set()
+            answers = sorted([(await one)[0] for one in (first, *rest)])
+            assert answers == [200, 200, 200, 502]
+            assert not balancer.held and not balancer.flight and not world.sidecar.pool.turn.in_hand
+    faulty(scenario, 1)
+
+
+def test_nothing_of_the_rpc_that_met_it_stays_out_or_is_held():
+    async def scenario():
+        async with Crossed(upstreams=2, held=(0, 1), methods=[AGAIN], parallel_tries=True) as world:
+            balancer = world.sidecar.pool.balancer
+            asking = asyncio.create_task(ask(world, request(b"one")))
+            await until(lambda: world.sent() == 1)
+            carried = next(iter(world.sidecar.pool.turn.in_hand.carried))
+            rpc, carried.rpc = carried.rpc, Broken(carried.rpc)
+            world.sidecar.pool.turn.gather(world.sidecar.pool.turn.decide, carried)
+            assert (await asking)[0] == 502
+            await until(lambda: not balancer.flight)
+            assert rpc.done and not carried.out
+            await until(lambda: not world.sidecar.pool.caller.open)     # it was stopped
+    faulty(scenario, 1)
+
+
+class Broken:
+    """A handle whose next decision fails."""
+
+    def __init__(self, rpc):
+        self.rpc, self.times = rpc, 1
+
+    def __getattr__(self, name):
+        return getattr(self.rpc, name)
+
+    def decide(self, now):
+        self.times -= 1
+        return self.rpc.decide(now) if self.times < 0 else 1 / 0
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -135,6 +135,50 @@
     scenario()
 
 
+def test_where_calls_wait_in_turn_a_first_one_is_waited_for_and_a_crowd_is_given_time(monkeypatch):
+    """Calls that were given up had been served for nobody, and so nobody was: 43 of 60 sidecars had no list
+    in 20 s. One that is turned away comes again the later the more often it is."""
+    quick(monkeypatch)
+    monkeypatch.setattr(discovery, "IN_TURN", 5.0)
+
+    @on_sockets
+    async def scenario():
+        async with Asked(upstreams=1) as world:
+            late = asyncio.Event()
+
+            async def in_turn(call):
+                await late.wait()
+                return world.whole()
+            pool, slept = world.sidecar.pool, []
+            pool.asks = True
+            world.agent.answers += [in_turn]
+            before = len(world.agent.calls)
+            host, port = world.discovery.address.split(":")
+            pool.move((host, int(port)))
+            await asyncio.sleep(0.5)        # several times what a silent one is given
+            assert len(world.agent.calls) == before + 1 and pool.reader.version is None
+            late.set()
+            await until(lambda: pool.reader.version == 1)
+            sleep = asyncio.sleep
+
+            async def brief(pause):
+                slept.append(pause)
+                await sleep(0)
+            monkeypatch.setattr(discovery.asyncio, "sleep", brief)
+            pool.watch.span = lambda low, high: 1.0
+            world.agent.answers += [message(503, b"")] * 8
+            await until_ready(lambda: len(slept) >= 8, sleep)
+            monkeypatch.setattr(discovery.asyncio, "sleep", sleep)
+            assert slept == sorted(slept) and slept[-1] == discovery.TURNED_AWAY
+    scenario()
+
+
+async def until_ready(condition, sleep):
+    async with asyncio.timeout(20):
+        while not condition():
+            await sleep(0.002)
+
+
 def test_a_connection_to_discovery_that_never_comes_up_is_given_up(monkeypatch):
     monkeypatch.setattr(discovery, "SILENCE", 0.15)
 
