Tenants by name, methods as paths write them, and lists with entries that are not sound

Lines at fault: ApplicationConnection.tenant and take; ListReader.read. Change: the tenant's name as the settings have it, a name that they do not have has no share; a path's part is unquoted where it is not found as it stands; the third answer running that is not sound is taken as far as it is: others' entries, and that a known upstream drains. A whole list removes nobody whose entry is not sound; one with no sound entry is none. What is saved leaves unsound entries out. A dial to a host that is no name ends as unconnected.

--- a/shedgrade/core/front.py
+++ b/shedgrade/core/front.py
@@ -37,6 +37,10 @@
     def tenants(self) -> int:
         return self.pool.tenants
 
+    def tenant_of(self, name: bytes) -> int:
+        """By the name that the settings give it; one that they do not name has no share here."""
+        return self.pool.tenant_names.get(name, self.pool.tenants)
+
     def opened(self, connection) -> None:
         self.clients[connection] = None
         self.budget.clients += 1
--- a/shedgrade/core/pool.py
+++ b/shedgrade/core/pool.py
@@ -46,6 +46,8 @@
     def take_settings(self, settings: dict) -> tuple[int, int]:
         """What the pool itself has of them. Returns the limits of a dial and of an idle connection."""
         self.tenants = len(settings.get("customers", ()))
+        self.tenant_names = {str(customer["name"]).encode(): number for number, customer in
+                             enumerate(settings.get("customers", ())) if "name" in customer}
         self.asks = settings["membership_mode"] == "on_request"
         self.methods = {method["name"].encode(): number
                         for number, method in enumerate(settings["methods"])}
@@ -74,15 +76,18 @@
     def label(self) -> str:
         return f" of pool {self.name}" if self.name else ""
 
-    def listed(self, message: object, asked: bool = True) -> None:
-        """ListError for what is no list; else it is in charge from the next turn on."""
-        rows, whole, moved = self.reader.read(message)
+    def listed(self, message: object, asked: bool = True, part: bool = False) -> None:
+        """ListError for what is no list; else it is in charge from the next turn on. `part`: what of it is
+        sound."""
+        rows, whole, moved = self.reader.read(message, part)
         quiet = self.reader.weights_only
         if asked:
             self.take_over("discovery")
             if self.saved is not None:
                 # Guards the disk: weights that move with load are of no use after a restart.
-                self.saved.told({**message, "instances": []} if quiet else message)
+                # Nor is an entry that is not sound: it would spoil the start from what was saved.
+                taken = [] if quiet else self.reader.taken
+                self.saved.told({**message, "instances": taken} if quiet or part else message)
         leaving = [row[0] for row in rows if row[2] != decide.READY]
         self.turn.listed(rows, whole, asked)    # first: what is withdrawn is decided anew by this list
         for upstream in (*moved, *leaving):
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -5,6 +5,7 @@
 import struct
 import termios
 from collections import deque
+from urllib.parse import unquote_to_bytes
 
 import httptools
 from loguru import logger
@@ -397,7 +398,7 @@
                 self.refuse(400)
                 return
             known[name] = value
-        method = self.front.methods.get(path.split(b"/", 2)[1] if path.startswith(b"/") else b"")
+        method = self.method(path.split(b"/", 2)[1] if path.startswith(b"/") else b"")
         wait = known.get(b"x-timeout-ms", b"")
         name = known.get(b"x-request-id")
         if not name or not wait.isdigit() or len(wait) > 9 or not 0 < int(wait) <= LONGEST_TIMEOUT:
@@ -406,7 +407,7 @@
         if method is None:
             self.refuse(404)
             return
-        tenant = self.tenant(known.get(b"x-attrs", b"")) if self.front.tenants else 0
+        tenant = self.tenant(known) if self.front.tenants else 0
         if tenant is None:
             self.refuse(400)
             return
@@ -428,9 +429,20 @@
             flow.lost = lambda: self.front.turn.came(carried, False, not carried.coming)
         self.front.turn.arrived(self.carried, method, int(wait), known.get(b"x-retried") == b"1", tenant)
 
-    def tenant(self, attributes: bytes) -> int | None:
-        """The tenant's number in `X-Attrs`, 0 where none is named; None if it is not sound."""
-        for pair in attributes.split(b","):
+    def method(self, part: bytes) -> int | None:
+        """By name, as it stands or as a path has to write what may not stand in one."""
+        found = self.front.methods.get(part)
+        if found is None and b"%" in part:
+            found = self.front.methods.get(unquote_to_bytes(part))
+        return found
+
+    def tenant(self, known: dict[bytes, bytes]) -> int | None:
+        """The tenant's number, by its name in `X-Tenant-Id` or its number in `X-Attrs`, 0 where none is
+        named; None if the number is not sound."""
+        name = known.get(b"x-tenant-id")
+        if name is not None:
+            return self.front.tenant_of(name)
+        for pair in known.get(b"x-attrs", b"").split(b","):
             name, _, value = pair.partition(b"=")
             if name.strip() == b"project":
                 value = value.strip()
--- a/shedgrade/wire/connection.py
+++ b/shedgrade/wire/connection.py
@@ -13,7 +13,8 @@
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
                  b"upgrade", b"content-length", b"expect"))
 BLANKS = b" \t"         # may stand round a header's value, and belong to nobody
-KNOWN_BY = frozenset((b"x-request-id", b"x-timeout-ms", b"x-retried", b"x-attrs", b"host"))
+KNOWN_BY = frozenset((b"x-request-id", b"x-timeout-ms", b"x-retried", b"x-attrs", b"x-tenant-id",
+                      b"host"))
 
 
 class MessageError(Exception):
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -21,6 +21,7 @@
 WHOLE = 4.0             # s from its first byte within which an answer must be whole, however it drips
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.25     # s before the next try: it is an agent on this machine, and
                         # what it gets when an outage ends counts at once, so a call should be open by then
+UNSOUND = 3             # answers running that are no sound list, until what is sound in the last is taken
 TURNED_AWAY = 2.0       # s at the longest where it speaks, but has no list: it has too much to do
 LONGEST_LIST = 8 * 1024 * 1024      # bytes: tens of thousands of upstreams
 STATES = {"in_service": decide.READY, "terminating": decide.DRAINING, "terminated": decide.REMOVED}
@@ -39,10 +40,12 @@
         self.indices, self.addresses = Indices(), Addresses()
         self.told: dict[str, dict] = {}     # by id: what was last said of an upstream
         self.version: int | None = None
+        self.taken: list[dict] = []         # the entries of the last answer that were of use
         self.weights_only = False           # the last change moved weights and nothing else
 
-    def read(self, message: object) -> tuple[list, bool, list[int]]:
-        """Rows, whether the list is whole, and the upstreams that are elsewhere now. All or nothing."""
+    def read(self, message: object, part: bool = False) -> tuple[list, bool, list[int]]:
+        """Rows, whether the list is whole, and the upstreams that are elsewhere now. All or nothing; or, with
+        `part`, the entries that are sound."""
         try:
             version, whole = message["generation"], message["reset"]
             if type(version) is not int or type(whole) is not bool:
@@ -50,10 +53,11 @@
             # A change says what changed; one that an upstream is gone may say no more than that.
             # Guards against a list that stands still: that an upstream drains or is gone which was never
             # known here, or was forgotten, is nothing new; lacking all else, it would be refused each time.
-            told = [instance if whole else {**self.told.get(instance["instanceId"], {}), **instance}
-                    for instance in message["instances"]
-                    if instance["instanceId"] in self.told or "hostPort" in instance
-                    or STATES[instance["lifecycle"]] == decide.READY]
+            found = [self.sound(instance) if part else self.filled(instance, whole)
+                     for instance in message["instances"]]
+            told = [instance for instance in found if instance is not None]
+            if part and found and not told:
+                raise ListError("no entry is sound")
             entries = [self.entry(instance) for instance in told]
         except (KeyError, OverflowError, TypeError, ValueError, AttributeError) as wrong:
             raise ListError(f"{type(wrong).__name__}: {wrong}") from wrong
@@ -67,9 +71,35 @@
             rows.append(row)
             if self.addresses.move(row[0], address):
                 moved.append(row[0])
-        self.version = version
+        self.version, self.taken = version, told
         return rows, whole, moved
 
+    def filled(self, instance: dict, whole: bool) -> dict | None:
+        """An entry with what was said before; None if it is of no use to anybody."""
+        if whole:
+            return instance
+        name = instance["instanceId"]
+        if name in self.told or "hostPort" in instance or STATES[instance["lifecycle"]] == decide.READY:
+            return {**self.told.get(name, {}), **instance}
+        return None
+
+    def sound(self, instance: object) -> dict | None:
+        """The entry as far as it can be used. That a known upstream drains or is gone counts whatever else is
+        wrong with its entry; apart from that it stays as it was."""
+        try:
+            before = self.told.get(instance["instanceId"], {})
+            ends = {**before, "lifecycle": instance["lifecycle"]} if STATES.get(
+                instance.get("lifecycle"), decide.READY) != decide.READY else before
+        except (KeyError, TypeError, AttributeError):
+            instance, before, ends = {}, {}, {}
+        for made in ({**before, **instance}, ends):
+            try:
+                self.entry(made)
+                return made
+            except (ListError, KeyError, OverflowError, TypeError, ValueError, AttributeError):
+                logger.warning("an entry of the list is not sound: {:.200}", repr(instance))
+        return None
+
     def forget(self, upstream: int) -> None:
         self.told.pop(self.indices.release(upstream), None)
         self.addresses.known.pop(upstream, None)
@@ -145,6 +175,7 @@
         self.tell, self.failed, self.span = tell, failed, span
         self.host = f"{address[0]}:{address[1]}".encode()
         self.link: DiscoveryConnection | None = None
+        self.unsound = 0        # answers running that were no sound list
         self.patience = IN_TURN if in_turn else SILENCE
         self.proven = False     # whoever is called here has answered since something last failed
 
@@ -195,7 +226,16 @@
             message = orjson.loads(body)
         except orjson.JSONDecodeError as wrong:
             raise ListError(f"not JSON ({wrong})") from wrong
-        self.tell(message)
+        try:
+            self.tell(message)
+        except ListError:
+            # Guards against one entry that is never sound: others behind it drain, and would not be heard of.
+            # What is spoilt on its way is sound when it is asked for again.
+            self.unsound += 1
+            if self.unsound < UNSOUND:
+                raise
+            self.tell(message, part=True)
+        self.unsound = 0
         self.proven = True
 
     async def whole(self, answered: asyncio.Future, first: float) -> tuple[int, bytes]:
--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -394,7 +394,7 @@
                 raise ConnectionRefusedError("that is this process")
             _, link = await self.connect(
                 lambda: (stream or UpstreamConnection)(self, upstream, address), address)
-        except (OSError, RuntimeError) as failure:
+        except (OSError, RuntimeError, ValueError) as failure:    # the last: a host that is no name
             number = getattr(failure, "errno", None)
             outcome = getattr(failure, "outcome", None)
             if outcome is None:
