A no from an agent is met soon; a close that is under way is left; SIGHUP noted without a gap

Read again line by line after the mends: the pause of up to 2 s after an answer that is no list held for agents too, whose list counts at once when an outage ends (DiscoveryWatch.run: it is 0.25 s there now); finish asked a socket that may be closed already for what is unsent; between asking for an early SIGHUP and taking the next ones there was a moment for one that nobody heard. tests/crossings and test_sockets pass.

--- a/shedgrade/lifecycle/sidecar.py
+++ b/shedgrade/lifecycle/sidecar.py
@@ -197,8 +197,8 @@
         self.loop.set_exception_handler(self.fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.drain)
-        reload_asked = early.reload_asked()
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        reload_asked = early.reload_asked()     # before that; what comes from here on is met by the loop
         if self.pool.saved is not None:
             self.pool.saved.open()
             self.start_from_saved()
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -325,9 +325,11 @@
         Guards against a close that resets: on bytes that are unread, or that come later, it would throw away
         what the client's kernel has not taken of the answer. Then only the sending ends at first.
         """
+        if self.transport.is_closing():
+            return
         if self.lingering or not (self.unsent() or self.unread()):
             self.transport.close()
-        elif not self.transport.is_closing():
+        else:
             self.lingering = True
             self.requests.clear()
             self.used(len(self.incoming))
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -22,7 +22,7 @@
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.25     # s before the next try: it is an agent on this machine, and
                         # what it gets when an outage ends counts at once, so a call should be open by then
 UNSOUND = 3             # answers running that are no sound list, until what is sound in the last is taken
-TURNED_AWAY = 2.0       # s at the longest where it speaks, but has no list: it has too much to do
+TURNED_AWAY = 2.0       # s at the longest where calls wait in turn and it has no list: it has too much to do
 LONGEST_LIST = 8 * 1024 * 1024      # bytes: tens of thousands of upstreams
 STATES = {"in_service": decide.READY, "terminating": decide.DRAINING, "terminated": decide.REMOVED}
 
@@ -177,6 +177,7 @@
         self.link: DiscoveryConnection | None = None
         self.unsound = 0        # answers running that were no sound list
         self.patience = IN_TURN if in_turn else SILENCE
+        self.refused = TURNED_AWAY if in_turn else LONGEST_PAUSE    # the longest pause after a "no"
         self.proven = False     # whoever is called here has answered since something last failed
 
     async def run(self) -> None:
@@ -199,7 +200,7 @@
                 down = True
                 self.failed()
                 await asyncio.sleep(pause * self.span(0.5, 1.0))
-                pause = min(2 * pause, TURNED_AWAY if isinstance(failure, ListError) else LONGEST_PAUSE)
+                pause = min(2 * pause, self.refused if isinstance(failure, ListError) else LONGEST_PAUSE)
                 continue
             if down:
                 logger.info("discovery answers again, generation {}", self.reader.version)
