--- a/tests/admin/test_upgrade.py
+++ b/tests/admin/test_upgrade.py
@@ -119,6 +119,30 @@
         handle.close()
 
 
+@on_sockets
+async def test_one_that_is_told_to_end_before_its_newcomer_serves_leaves_nobody_at_the_door():
+    """It accepts as long as any that ends; what comes later waits in the queue that the newcomer has too."""
+    from shedgrade.lifecycle.succession import meet
+
+    async with Operated(serve) as world:
+        loop, old = asyncio.get_running_loop(), world.sidecar
+        link, _, handle = await loop.run_in_executor(None, meet, loop, rendezvous(world.config.listen))
+        old.drain()
+        assert (await ask(world))[0] == 200
+        link.send({"what": "serving"})      # it comes while the old one drains
+        await until(lambda: old.upgrade.replaced)
+        late = asyncio.create_task(ask(world, request(name="a2")))
+        await until(lambda: old.phase is Phase.CLOSED)
+        assert not late.done()
+        handle.setblocking(False)
+        taken, _ = await loop.sock_accept(handle)   # as the newcomer does
+        assert b"a2" in await loop.sock_recv(taken, 4096)
+        late.cancel()
+        taken.close()
+        handle.close()
+        link.close()
+
+
 @pytest.mark.parametrize("answer", [b"", b"{", b"[]\n", b'{"v":9,"what":"state"}\n',
                                     b'{"v":1,"what":"state"}\n', None])
 def test_what_is_torn_foreign_or_silent_is_not_used(folder, answer):
