--- a/tests/crossings/test_customers.py
+++ b/tests/crossings/test_customers.py
@@ -103,8 +103,9 @@
     chance = random.Random(seed)
     pick, zones = chance.choice, chance.choice((1, 2, 5))
     methods = [{**method(pick(("once", "repeatable", "by_key")), pick(("all", "zone", "cell")),
-                         pick((0, 1, 5, 1e6)), pick((0.05, 1, 2, 10, 600, 1e5)), pick((0.05, 2, 20, 3e3, 1e5)),
-                         pick((0, 5, 2000))), "name": f"m{number}"} for number in range(pick((1, 1, 2, 4)))]
+                         pick((0, 1, 5, 1e6)), pick((0.05, 1, 2, 10, 600, 1e5)),
+                         pick((0.05, 2, 20, 3e3, 1e5)), pick((0, 5, 2000))), "name": f"m{number}"}
+               for number in range(pick((1, 1, 2, 4)))]
     conf = settings(methods, zones, limits={
         "most_transmissions": pick((1, 2, 4, 100)), "parallel_tries": pick((True, False)),
         "cancelling": pick((True, False)), "max_retry_after": pick((0, 1000)), "multiplex": pick((1, 8)),
@@ -114,8 +115,8 @@
              "customers": pick(([], [{"allowance_per_s": 0}, {"allowance_per_s": 50}])),
              "excess_payoff": pick((0, 0.2, 1)), "objective_mix": pick((
                  {}, *({"slow_end": 1, "miss_allowed": part} for part in (0, 0.01, 0.5, 1))))}
-    conf["rules"] |= {"cold": pick((0, 0.1, 1e4)), "cold_from": pick((0, 0.2, 1)), "ask_every": pick((0, 1e4)),
-                      "fall_multiple": pick((0, 0.1, 3)), "dropped_stay_open": pick((True, False))}
+    conf["rules"] |= {"cold": pick((0, 0.1, 1e4)), "cold_from": pick((0, 0.2, 1)),
+                      "ask_every": pick((0, 1e4)), "fall_multiple": pick((0, 0.1, 3)), "dropped_stay_open": pick((True, False))}
     assert problem(conf) is None and whole(conf) is None
     balancer, now, taken = decide.Balancer(conf, seed, 0), 1, []
     balancer.list_changed(now, [row(up, up % zones, started=pick((0, now))) for up in range(6)], True, True)
