--- a/tests/crossings/test_customers.py
+++ b/tests/crossings/test_customers.py
@@ -116,7 +116,8 @@
              "excess_payoff": pick((0, 0.2, 1)), "objective_mix": pick((
                  {}, *({"slow_end": 1, "miss_allowed": part} for part in (0, 0.01, 0.5, 1))))}
     conf["rules"] |= {"cold": pick((0, 0.1, 1e4)), "cold_from": pick((0, 0.2, 1)),
-                      "ask_every": pick((0, 1e4)), "fall_multiple": pick((0, 0.1, 3)), "dropped_stay_open": pick((True, False))}
+                      "ask_every": pick((0, 1e4)), "fall_multiple": pick((0, 0.1, 3)),
+                      "dropped_stay_open": pick((True, False))}
     assert problem(conf) is None and whole(conf) is None
     balancer, now, taken = decide.Balancer(conf, seed, 0), 1, []
     balancer.list_changed(now, [row(up, up % zones, started=pick((0, now))) for up in range(6)], True, True)
