Settings without zones, or whose own zone is none of them, start nothing

Seen: each value of a sound configuration replaced by sixteen odd ones, loaded and given one RPC a method; all ended as one line and exit 2 or served, but zones that are empty or no list, where Choice.choose met an IndexError on each RPC (errored), and az beyond the zones. Line at fault: shape.gaps, which looked at az alone.

Change: zones and az are checked as the rest is: one line and exit 2 at a start, the old ones kept at a reload. Six tests, red without it.

--- a/shedgrade/lifecycle/shape.py
+++ b/shedgrade/lifecycle/shape.py
@@ -66,7 +66,11 @@
     for key in ("ask_every", "cold", "cold_from", "fall_multiple", "stop_sending_within"):
         yield from number(f"rules.{key}", rules.get(key, MISSING), 0, whole=False)
     yield from number("tick", settings.get("tick", MISSING), 0, whole=False)
-    yield from number("az", settings.get("az", MISSING), 0)
+    zones = settings.get("zones", MISSING)
+    if not (isinstance(zones, list) and zones and all(isinstance(zone, str) for zone in zones)):
+        yield "zones", zones, "a list of names, one at least"
+        return
+    yield from number("az", settings.get("az", MISSING), 0, len(zones) - 1)
 
 
 def tuned(held: dict, fresh: dict) -> tuple[dict, list[str]]:
--- a/tests/crossings/test_customers.py
+++ b/tests/crossings/test_customers.py
@@ -96,6 +96,15 @@
     scenario()
 
 
+@pytest.mark.parametrize("changes", [{"zones": []}, {"zones": "ab"}, {"zones": [1]}, {"zones": None}, {"az": 1},
+                                     {"az": 2**70}])
+def test_settings_without_the_zone_that_they_name_start_nothing(changes):
+    """Each RPC met an IndexError, and was errored."""
+    assert whole(settings(zones=1, limits={"dial_timeout": 1.0, "idle_close": 1.0})) is None
+    found = whole(settings(zones=1, limits={"dial_timeout": 1.0, "idle_close": 1.0}) | changes)
+    assert found.startswith(f"settings.{next(iter(changes))}: found ") and "\n" not in found
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_sound_settings_of_any_size_meet_no_fault(seed):
     """A soft deadline of two ticks or of less than 0.1 ms, which the settings may say, divided by zero on
