--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -304,3 +304,13 @@
         status, _, _ = await asking
         pool.turn.expire = expire
         assert status == 503 and not world.bodies()
+
+
+@on_sockets
+async def test_a_host_that_is_no_name_ends_its_transmission_at_once():
+    """The dial's task died of it; the transmission had no end before its limit."""
+    async with Crossed(upstreams=1, methods=[PATIENT]) as world:
+        await world.tell({**world.entry(0), "hostPort": "a..b:80"})
+        async with asyncio.timeout(8):      # its client waits for 15 s
+            assert (await ask(world, request(b"one")))[0] == 503
+        assert not world.sidecar.pool.caller.dials and not world.sidecar.pool.balancer.flight
