A test of silent watches waits for the turn that takes the list

Seen: alone, tests/crossings passed 12 times running and failed in the 13th, test_a_watch_that_falls_silent_twice_running_is_opened_anew_each_time: it looked at the decisions in the pass in which the answer had been read, one pass before the turn that hands it over. Ruled out that the program is late: Pool.listed gathers for the loop's next pass, as everything does. The test waits for the drain itself now and then asks for the version: as strict, in the other order.

--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -73,8 +73,8 @@
             drained = world.listing(world.entry(0, "terminating"), generation=2)
             world.agent.answers += [SILENT, SILENT, drained]
             before = len(world.agent.calls)
-            await until(lambda: world.sidecar.pool.reader.version == 2)
-            assert not world.sidecar.pool.balancer.ups[0].listed
+            await until(lambda: not world.sidecar.pool.balancer.ups[0].listed)
+            assert world.sidecar.pool.reader.version == 2
             # Those after a failure wait no longer than it takes to show that somebody is there.
             assert all(waits(call) == discovery.PROOF for call in world.agent.calls[before + 1:before + 3])
             assert world.discovery.connections >= 3
