The shared modules log to a sink that is handed in

wire, turn and core imported loguru, so a program with another logger would load both. They now take shedgrade.log's logger, which passes on to what was handed in, and to loguru when nothing was: lines of serve are as before, their caller too.

--- a/shedgrade/core/front.py
+++ b/shedgrade/core/front.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 from time import monotonic
 
-from loguru import logger
-
 from shedgrade.core.pool import Pool
+from shedgrade.log import logger
 from shedgrade.memory.budget import Budget
 
 BETWEEN = 10.0          # s between two lines about the same crowd
--- a/shedgrade/core/pool.py
+++ b/shedgrade/core/pool.py
@@ -2,11 +2,10 @@
 among pools."""
 import asyncio
 
-from loguru import logger
-
 from shedgrade import decide
 from shedgrade.clock import Clock
 from shedgrade.lifecycle.config import ConfigError
+from shedgrade.log import logger
 from shedgrade.memory.budget import Budget
 from shedgrade.memory.upstreams import tenths
 from shedgrade.turn import Turn
--- a/shedgrade/turn.py
+++ b/shedgrade/turn.py
@@ -8,10 +8,9 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from loguru import logger
-
 from shedgrade import decide
 from shedgrade.core import lasting
+from shedgrade.log import logger
 from shedgrade.memory.in_hand import Answer, Carried, InHand, Transmission
 
 STILL = 100_000     # tenths of a ms without a byte of a long answer after which it is held to be broken
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -8,8 +8,8 @@
 from urllib.parse import unquote_to_bytes
 
 import httptools
-from loguru import logger
 
+from shedgrade.log import logger
 from shedgrade.memory.flow import PRESSED, SMALL, Flow, nothing
 from shedgrade.memory.in_hand import Answer, Carried, Request
 from shedgrade.wire.connection import (
--- a/shedgrade/wire/discovery.py
+++ b/shedgrade/wire/discovery.py
@@ -5,9 +5,9 @@
 
 import httptools
 import orjson
-from loguru import logger
 
 from shedgrade import decide
+from shedgrade.log import logger
 from shedgrade.memory.upstreams import Addresses, Indices, tenths
 from shedgrade.wire.connection import Connection, MessageError
 
