Decisions: what a region reaches, the threshold and the measures can be replaced

The system's decisions stand beside these and replace three things: which regions a request may reach, the threshold, and how times are measured.

--- a/shedgrade/decide/health.py
+++ b/shedgrade/decide/health.py
@@ -78,6 +78,25 @@
         elif up.index in self.latent:
             up.aside_until += 1     # the others in doubt come first
 
+    def measure(self, now: int, up: Upstream, took: int, crowd: int, rpc: Rpc) -> None:
+        usual = self.usual(up, crowd)
+        pace = max(0.1, rpc.method.pace.of(3 * self.typical())) if len(self.methods) > 1 else 1.0
+        rpc.method.pace.add(now, took, usual)
+        usual *= pace
+        up.took, up.foreseen = up.took + took, up.foreseen + usual
+        alike = usual / self.kind_factor(up)
+        kind = self.kinds.setdefault(up.kind, [0.0, 0.0, now])
+        keep = exp((kind[2] - now) / LONGEST)
+        self.kinds[up.kind] = [kind[0] * keep + took, kind[1] * keep + alike, now]
+        level = took * (self.base + self.slope * crowd) / alike     # at one of the mean size, warm
+        keep = exp((self.stamp - now) / self.memory)
+        seen = (1, crowd, level, crowd * crowd, crowd * level)
+        self.sums, self.stamp = [old * keep + new for old, new in zip(self.sums, seen, strict=True)], now
+        # A light balancer remembers longer, until it has seen enough.
+        few = self.sums[0] < ENOUGH
+        self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
+        self.fit()
+
     def learn(self, now: int, up: Upstream, outcome: int, took: int, crowd: int, fresh: bool, rpc: Rpc):
         up.fade(now, self.memory)
         self.ends.add(now, outcome in (COMPLETED, TIMED_OUT), now - self.ends.stamp, self.memory)
@@ -85,23 +104,7 @@
             self.settle(up, outcome, took, crowd)
         # Guards against dear connections, of which a first RPC tells. Nothing ready: no mean size to go by.
         if outcome in (COMPLETED, TIMED_OUT) and not fresh and self.usual(up, crowd) > 0:
-            usual = self.usual(up, crowd)
-            pace = max(0.1, rpc.method.pace.of(3 * self.typical())) if len(self.methods) > 1 else 1.0
-            rpc.method.pace.add(now, took, usual)
-            usual *= pace
-            up.took, up.foreseen = up.took + took, up.foreseen + usual
-            alike = usual / self.kind_factor(up)
-            kind = self.kinds.setdefault(up.kind, [0.0, 0.0, now])
-            keep = exp((kind[2] - now) / LONGEST)
-            self.kinds[up.kind] = [kind[0] * keep + took, kind[1] * keep + alike, now]
-            level = took * (self.base + self.slope * crowd) / alike     # at one of the mean size, warm
-            keep = exp((self.stamp - now) / self.memory)
-            seen = (1, crowd, level, crowd * crowd, crowd * level)
-            self.sums, self.stamp = [old * keep + new for old, new in zip(self.sums, seen, strict=True)], now
-            # A light balancer remembers longer, until it has seen enough.
-            few = self.sums[0] < ENOUGH
-            self.memory = min(LONGEST, self.memory * 1.1) if few else max(MEMORY, self.memory / 1.1)
-            self.fit()
+            self.measure(now, up, took, crowd, rpc)
         if outcome in (COMPLETED, FAILED):
             for sort in (rpc.method.fails, *self.fails[rpc.tenant:rpc.tenant + 1]):
                 sort.add(now, float(outcome == FAILED), 1.0)
--- a/shedgrade/decide/rpc.py
+++ b/shedgrade/decide/rpc.py
@@ -68,6 +68,9 @@
         """The first transmission that may have run, those still out included."""
         return next((tx for tx, at in enumerate(self.sent) if at is not None), None)
 
+    def reaches(self, zone: "Zone") -> bool:    # noqa: F821
+        return bool(zone.ring)
+
     def allowed(self, up: Upstream, now: int) -> bool:
         """Rule 2, no effect twice: what may have run goes again only where its method permits."""
         method, first = self.method, self.first_run()
--- a/shedgrade/decide/zones.py
+++ b/shedgrade/decide/zones.py
@@ -34,6 +34,8 @@
 
 
 class Choice:
+    threshold = THRESHOLD
+
     def choose(self, now: int, rpc: Rpc, stay: bool) -> Upstream | None:
         """The design's path: drop the worst zone at the threshold; own zone first, else a draw; rotation."""
         for up in self.owed:
@@ -43,9 +45,9 @@
                 # another zone: one RPC, within the budget of cold ones, shows that it is well.
                 self.owed.remove(up)
                 return self.chosen(up, now)
-        worst, most, open_zones = None, THRESHOLD, []
+        worst, most, open_zones = None, self.threshold, []
         for zone in self.zones:
-            if zone.ring:
+            if rpc.reaches(zone):
                 if zone.window < 1:
                     # What holds back some of all RPCs fades when nothing confirms it.
                     zone.window **= exp((zone.read - now) / LONGEST)
