--- a/shedgrade/decide/zones.py
+++ b/shedgrade/decide/zones.py
@@ -15,7 +15,7 @@
 class Zone:
     """The rotation of one zone: `ring`, of its `ready` or its `part`; `crowd` as the list tells."""
     __slots__ = ("ring", "ready", "part", "turn", "flight", "window", "usual", "last_end", "read", "held",
-                 "moved", "opening", "crowd", "late", "share")
+                 "moved", "opening", "crowd", "late", "share", "number")
 
     def __init__(self, turn: float) -> None:
         self.ring, self.turn, self.flight, self.window, self.usual = [], turn, 0, inf, 0.0
--- a/shedgrade/wire/application.py
+++ b/shedgrade/wire/application.py
@@ -43,6 +43,9 @@
 
 class ApplicationConnection(Connection):
     """One connection of the application. One RPC at a time: what comes early waits in the ring."""
+    # Bounds of what a client may send and how long it may take; another protocol sets its own.
+    small, longest_head, longest_body, comes, head_time = SMALL, LONGEST_HEAD, LONGEST_BODY, COMES, HEAD
+    once = ONCE
 
     def __init__(self, front, who: str = "") -> None:
         """`who`: the name under which its owner has logged in, if it has."""
@@ -70,7 +73,7 @@
     def clear(self) -> None:
         self.count(-self.counted)
         self.target, self.headers, self.body, self.length = b"", [], [], 0
-        self.headed, self.head_left, self.raw, self.expects = False, LONGEST_HEAD, 0, False
+        self.headed, self.head_left, self.raw, self.expects = False, self.longest_head, 0, False
 
     def count(self, more: int) -> None:
         """Bytes of a body that is not whole are in the budget too."""
@@ -115,10 +118,10 @@
         elif self.carried is not None or self.unread():
             return
         elif self.begun:
-            if self.stalled(now) if self.headed else now - self.since > HEAD:
+            if self.stalled(now) if self.headed else now - self.since > self.head_time:
                 self.last = True
                 self.answer(408)
-        elif not self.proven and now - self.since > COMES:
+        elif not self.proven and now - self.since > self.comes:
             self.last = True
             self.transport.close()
 
@@ -257,7 +260,7 @@
             self.spoilt()
         elif self.begun and self.headed and self.flow is None and self.carried is None and not (
                 self.requests or self.last):
-            if self.length > SMALL or (self.length > PRESSED and self.front.budget.pressed()):
+            if self.length > self.small or (self.length > PRESSED and self.front.budget.pressed()):
                 self.lengthen()
             elif self.expects and not self.flushing:
                 self.expects = False
@@ -366,7 +369,7 @@
 
     def on_url(self, url: bytes) -> None:
         self.target += url
-        self.grown(len(url), LONGEST_HEAD, 413)
+        self.grown(len(url), self.longest_head, 413)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed:     # what trails a body is not the head's
@@ -375,16 +378,16 @@
         if name.lower() == b"expect" and value.lower() == b"100-continue":
             self.expects = self.parser.get_http_version() != "1.0"
         self.headers.append((name, value))
-        self.grown(len(name) + len(value), LONGEST_HEAD, 413)
+        self.grown(len(name) + len(value), self.longest_head, 413)
 
     def on_headers_complete(self) -> None:
         self.length, self.headed = 0, True
         self.mark = self.came, self.front.loop.time()
-        if (declared(self.headers) or 0) > LONGEST_BODY:
+        if (declared(self.headers) or 0) > self.longest_body:
             raise MessageError(413)
 
     def on_body(self, body: bytes) -> None:
-        self.grown(len(body), LONGEST_BODY, 413)
+        self.grown(len(body), self.longest_body, 413)
         if self.flow is not None:
             self.flow.put(body)
         else:
@@ -423,13 +426,10 @@
         if path == b"/up":
             self.answer(200 if self.front.ready() else 503)
             return
-        known: dict[bytes, bytes] = {}
-        for name, value in headers:
-            name = name.lower()
-            if name in ONCE and name in known:
-                self.refuse(400)
-                return
-            known[name] = value
+        known = self.known(headers)
+        if known is None:
+            self.refuse(400)
+            return
         method = self.method(path.split(b"/", 2)[1] if path.startswith(b"/") else b"")
         wait = known.get(b"x-timeout-ms", b"")
         name = known.get(b"x-request-id")
@@ -461,6 +461,16 @@
             flow.lost = lambda: self.front.turn.came(carried, False, not carried.coming)
         self.front.turn.arrived(self.carried, method, int(wait), known.get(b"x-retried") == b"1", tenant)
 
+    def known(self, headers: list) -> dict[bytes, bytes] | None:
+        """By name in lower case; None if one that a request is known by comes twice."""
+        known: dict[bytes, bytes] = {}
+        for name, value in headers:
+            name = name.lower()
+            if name in self.once and name in known:
+                return None
+            known[name] = value
+        return known
+
     def method(self, part: bytes) -> int | None:
         """By name, as it stands or as a path has to write what may not stand in one."""
         found = self.front.methods.get(part)
--- a/shedgrade/wire/connection.py
+++ b/shedgrade/wire/connection.py
@@ -14,7 +14,7 @@
                  b"upgrade", b"content-length", b"expect"))
 BLANKS = b" \t"         # may stand round a header's value, and belong to nobody
 KNOWN_BY = frozenset((b"x-request-id", b"x-timeout-ms", b"x-retried", b"x-attrs", b"x-tenant-id",
-                      b"host"))
+                      b"host", b"attempt-id", b"time-remaining"))
 
 
 class MessageError(Exception):
--- a/shedgrade/wire/upstream.py
+++ b/shedgrade/wire/upstream.py
@@ -18,6 +18,7 @@
     declared,
     passed_on,
 )
+from shedgrade.wire.protocol import IN_SERVICE
 
 SETTLED = 60    # tenths of a ms: what an upstream sends behind an answer is here by then (5 plays: 1 to 4 ms)
 # Failures to connect that are this side's own: they prove as well that nothing ran, and blame no upstream.
@@ -69,7 +70,7 @@
         wait = transmission.carried.wait if coming else (transmission.until - now) // 10
         lines = [b"%s %s HTTP/1.1\r\n" % (request.verb, request.target)]
         lines += [b"%s: %s\r\n" % pair for pair in request.headers]
-        lines.append(b"X-Timeout-Ms: %d\r\n" % max(1, wait))
+        lines += self.caller.protocol.lines(transmission, max(1, wait))
         if request.flow is not None:
             lines.append(b"Transfer-Encoding: chunked\r\n" if request.length is None
                          else b"Content-Length: %d\r\n" % request.length)
@@ -316,8 +317,7 @@
                 passed_on(self.headers), b"".join(self.body), self.status,
                 length=self.said if self.bodiless else None)
         else:
-            away = self.status in (503, 504) and any(
-                name.lower() == b"x-not-processed" and value == b"1" for name, value in self.headers)
+            away = self.caller.protocol.turned_away(self.status, self.headers)
             outcome, answer = decide.TURNED_AWAY if away else decide.FAILED, None
         self.caller.heard[self.upstream] = self.caller.clock.now()
         if self.caller.counted_by is not None:
@@ -337,6 +337,8 @@
 class Caller:
     """Carries out transmissions: finds or opens a connection, and stops what is no longer wanted."""
 
+    connection, protocol = UpstreamConnection, IN_SERVICE
+
     def __init__(self, loop, clock, addresses: dict[int, tuple[str, int]], dial_time: int, idle_limit: int,
                  budget) -> None:
         self.loop, self.clock, self.addresses, self.budget = loop, clock, addresses, budget
@@ -393,7 +395,7 @@
             if address in self.own:
                 raise ConnectionRefusedError("that is this process")
             _, link = await self.connect(
-                lambda: (stream or UpstreamConnection)(self, upstream, address), address)
+                lambda: (stream or self.connection)(self, upstream, address), address)
         except (OSError, RuntimeError, ValueError) as failure:    # the last: a host that is no name
             number = getattr(failure, "errno", None)
             outcome = getattr(failure, "outcome", None)
