--- /dev/null
+++ b/shedgrade/controlplane/__main__.py
@@ -0,0 +1,40 @@
+"""python3 -m shedgrade.controlplane
+
+Usage:
+  shedgrade.controlplane [--settings FILE]
+
+Options:
+  --settings FILE   The settings file; SHEDGRADE_BOOT names it otherwise.
+"""
+import sys
+
+
+def main(arguments: list[str]) -> int:
+    import asyncio
+    from random import SystemRandom
+
+    import uvloop
+    from docopt import docopt
+
+    from shedgrade.boot import SettingsError, explain, load
+    from shedgrade.log import hand
+    from shedgrade.ring import Ring
+
+    options = docopt(__doc__, arguments)
+    try:
+        settings = load(options["--settings"])
+    except SettingsError as wrong:
+        print(explain(wrong), file=sys.stderr)
+        return 2
+    hand(Ring(settings.node_name))
+    from shedgrade.controlplane.plane import ControlPlane
+
+    async def run() -> None:
+        await ControlPlane(settings, asyncio.get_running_loop(), SystemRandom()).serve()
+
+    uvloop.run(run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/shedgrade/controlplane/channels.py
@@ -0,0 +1,21 @@
+"""What core members and edges say over one link, told apart by the body's first byte."""
+import msgspec
+
+from shedgrade.controlplane.orders import Order, Reply
+
+REPLICATION, KNOWLEDGE, DUTIES, ORDERS = b"R", b"K", b"D", b"O"
+
+
+class Relayed(msgspec.Struct, array_like=True, frozen=True, tag="relayed"):
+    """An order that another member took, for the primary. `order`: None for a read."""
+    order: Order | None
+
+
+class Outcome(msgspec.Struct, array_like=True, frozen=True, tag="outcome"):
+    """What became of it. `reply`: None if it can't be said here. `state`: of a read, its configuration."""
+    reply: Reply | None
+    state: dict[str, bytes] | None = None
+
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Relayed | Outcome).decode
--- /dev/null
+++ b/shedgrade/controlplane/plane.py
@@ -0,0 +1,261 @@
+"""The control plane of one core machine: its parts, wired to sockets, disk and clock."""
+import asyncio
+import gc
+import signal
+from random import Random
+
+import msgspec
+
+from shedgrade import knowledge
+from shedgrade.boot import Settings
+from shedgrade.controlplane import duties as duty
+from shedgrade.controlplane.channels import DUTIES, KNOWLEDGE, ORDERS, REPLICATION
+from shedgrade.controlplane.delivery import Hub
+from shedgrade.controlplane.directory import Directory
+from shedgrade.controlplane.disk import Disk
+from shedgrade.controlplane.operators import Operators
+from shedgrade.controlplane.ordering import Ordering
+from shedgrade.controlplane.orders import make_decide
+from shedgrade.controlplane.platform import InstanceList, Poller
+from shedgrade.httpd import HttpServer
+from shedgrade.knowledge import Ask, AskList, EdgesKnown, ListMoved
+from shedgrade.link.tcp import Links, LinkServer
+from shedgrade.log import logger
+from shedgrade.replication import Answer, Finished, Left, Member, Persist, Send, messages
+from shedgrade.storage import Store
+
+LIST = "upstreams"      # the duty of polling the platform's list
+BEAT = 0.25             # s between two looks at what has no timer of its own
+SPREAD = 0.5            # s between two words to other members about the edges heard here
+LEAVES = 0.2            # s for what was said last to leave
+AGED = 3                # beats without a list from the platform after which its holder gives the duty up
+
+encode_replication = msgspec.msgpack.Encoder().encode
+decode_replication = msgspec.msgpack.Decoder(messages.Message).decode
+
+
+class ControlPlane:
+    """Owns the member of the control state, the hub, the list, the duties, and all their sockets."""
+
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop, random: Random) -> None:
+        self.settings, self.loop, self.random = settings, loop, random
+        own = self.own = settings.link_address
+        now = loop.time()
+        self.store = Store(settings.data_dir)
+        found = self.store.load()
+        for finding in found.findings:
+            logger.warning("disk: {}", finding)
+        self.disk = Disk(loop, self.store, self.persisted)
+        founding = settings.initial_start and found.state == "empty"
+        self.member = Member(settings.node_name, own, founding=founding,
+                             seeds=settings.seed_links, tolerated=settings.tolerated.machines,
+                             found=found.values or None, random=random, now=now,
+                             decide=make_decide(settings.zones))
+        self.links = Links(loop, own, self.came_back, settings.ip_address)
+        self.server = LinkServer(loop, (settings.ip_address, settings.internal_ports[0]), own, self.heard,
+                                 self.links.adopt)
+        self.ordering = Ordering(loop, self.member, self.links, self.pump)
+        self.instances = InstanceList(loop.time)
+        self.poller = Poller(loop, settings.cloud_api, self.instances, self.polled, random=random)
+        self.duties = duty.Duties(own, self.member_addresses, random, now, duties=(LIST,))
+        self.hub = Hub(own, now)
+        self.operators = Operators(self.ordering)
+        self.directory = Directory(settings.zones, random, settings.bounds)
+        self.http: list[HttpServer] = []
+        self.timer = None
+        self.wake = float("inf")
+        self.spread_at = 0.0
+        self.listed = (0, 0)            # version of the list that others were told
+        self.pumping = False
+        self.left = asyncio.Event()
+
+    # --- from start to end
+
+    async def serve(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.leave)
+        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        self.disk.start()
+        await self.server.start()
+        listen = self.settings.listen
+        if "control" in listen:
+            self.http.append(HttpServer(self.loop, listen["control"], self.operators.handle, logger))
+        if "directory" in listen:
+            self.http.append(HttpServer(self.loop, listen["directory"], self.resolve, logger))
+        for server in self.http:
+            await server.start()
+        gc.collect()
+        gc.freeze()
+        self.beat()
+        await self.left.wait()
+        await asyncio.sleep(LEAVES)
+        for server in self.http:
+            server.close()
+        self.poller.stop()
+        self.links.close()
+        self.server.close()
+        self.disk.close()
+
+    def leave(self) -> None:
+        """SIGTERM: hands over what it holds, then ends."""
+        now = self.loop.time()
+        self.duties.resign(now)
+        self.member.leave(now)
+        self.pump()
+
+    def beat(self) -> None:
+        """What has no timer of its own."""
+        now = self.loop.time()
+        member = self.member
+        if member.role == "primary":
+            self.hub.primary_heard(now)
+        elif member.primary is not None:
+            self.hub.primary_heard(member.heard_at)
+        self.hub.members(now, self.member_addresses())
+        if self.duties.held(LIST) and self.poller.failed >= AGED:
+            self.duties.vacate(now, LIST)
+        if now >= self.spread_at:
+            self.spread_edges(now)
+        self.hub.tick(now)
+        self.pump()
+        if not self.left.is_set():
+            self.loop.call_later(BEAT, self.beat)
+
+    def spread_edges(self, now: float) -> None:
+        self.spread_at = now + SPREAD
+        known = self.hub.own_edges(now)
+        if known.edges:
+            self.tell_others(KNOWLEDGE + knowledge.encode(known))
+
+    def member_addresses(self) -> tuple[str, ...]:
+        """Link addresses of the members that the newest epoch names; before that, the seeds."""
+        return tuple(peer.address for peer in self.member.members) or self.settings.seed_links
+
+    def tell_others(self, body: bytes) -> None:
+        for address in self.member_addresses():
+            if address != self.own:
+                self.links.send(address, body)
+
+    # --- the member and the duties
+
+    def persisted(self, token: int, ok: bool) -> None:
+        self.member.persisted(self.loop.time(), token, ok)
+        self.pump()
+
+    def pump(self) -> None:
+        """Carries out what the state machines ask for, and sets the one timer."""
+        if self.pumping:
+            return
+        self.pumping = True
+        try:
+            while self.member.effects or self.duties.effects:
+                effects, self.member.effects[:] = list(self.member.effects), []
+                for effect in effects:
+                    self.carry_out(effect)
+                effects, self.duties.effects[:] = list(self.duties.effects), []
+                for effect in effects:
+                    self.carry_out_duty(effect)
+        finally:
+            self.pumping = False
+        self.set_timer()
+
+    def carry_out(self, effect: object) -> None:
+        match effect:
+            case Send(to, message):
+                self.links.send(to, REPLICATION + encode_replication(message))
+            case Persist(token, changes):
+                self.disk.write(token, changes)
+            case Answer(ticket, outcome):
+                self.ordering.answered(ticket, outcome)
+            case Finished(epoch, sequence, state):
+                self.hub.control(self.loop.time(), epoch, sequence, state)
+            case Left():
+                self.left.set()
+
+    def carry_out_duty(self, effect: object) -> None:
+        match effect:
+            case duty.Send(address, message):
+                self.links.send(address, DUTIES + duty.encode(message))
+            case duty.Won(_, term):
+                logger.info("polls the platform's list, term {}", term)
+                self.poller.start(term)
+            case duty.Lost():
+                self.poller.stop()
+
+    def set_timer(self) -> None:
+        at = min(self.member.wake_at(), self.duties.wake_at(), self.hub.wake_at())
+        if self.timer is not None:
+            if at == self.wake:
+                return
+            self.timer.cancel()
+            self.timer = None
+        self.wake = at
+        if at != float("inf"):
+            self.timer = self.loop.call_at(max(at, self.loop.time() + 0.001), self.alarm)
+
+    def alarm(self) -> None:
+        self.timer = None
+        now = self.loop.time()
+        self.member.tick(now)
+        self.duties.tick(now)
+        self.hub.tick(now)
+        self.pump()
+
+    # --- what comes over the link
+
+    def heard(self, peer, frame) -> None:
+        """A frame on a connection that came in; its answer goes back on it."""
+        self.take(frame.sender, frame.body,
+                  lambda body: peer.send(body, frame.number, True) if frame.number else
+                  self.links.send(frame.sender, body))
+
+    def came_back(self, sender: str, frame) -> None:
+        self.take(sender, frame.body, lambda body: self.links.send(sender, body))
+
+    def take(self, sender: str, body: bytes, answer) -> None:
+        channel, body = body[:1], body[1:]
+        now = self.loop.time()
+        try:
+            if channel == REPLICATION:
+                self.member.receive(now, sender, decode_replication(body))
+            elif channel == DUTIES:
+                self.duties.receive(now, sender, duty.decode(body))
+            elif channel == KNOWLEDGE:
+                self.learn(now, sender, knowledge.decode(body), answer)
+            elif channel == ORDERS:
+                self.ordering.relayed(body, answer)
+        except msgspec.MsgspecError as wrong:
+            # Guards against a process of another version: what it says is left out, and said once in the
+            # ring.
+            logger.warning("{} says what is not understood: {}", sender, wrong)
+        self.pump()
+
+    def learn(self, now: float, sender: str, message: object, answer) -> None:
+        match message:
+            case Ask():
+                before = self.hub.own_version
+                self.hub.ask(now, message, lambda told: answer(KNOWLEDGE + knowledge.encode(told)))
+                if self.hub.own_version != before:
+                    self.spread_edges(now)
+            case EdgesKnown():
+                self.hub.peers_edges(now, sender, message)
+            case AskList(term, number):
+                answer(KNOWLEDGE + knowledge.encode(self.instances.answer(term, number, now)))
+            case ListMoved():
+                if self.instances.take(message, now):
+                    self.hub.instances(now, self.instances)
+                elif self.instances.lacks:
+                    answer(KNOWLEDGE + knowledge.encode(self.instances.question(now)))
+
+    def polled(self, changed: bool) -> None:
+        """This process polls, and a whole list has come."""
+        now = self.loop.time()
+        if changed:
+            self.hub.instances(now, self.instances)
+        self.tell_others(KNOWLEDGE + knowledge.encode(self.instances.answer(*self.listed, now)))
+        self.listed = self.instances.version
+
+    # --- clients
+
+    def resolve(self, request, tell) -> None:
+        tell(self.directory.handle(request, self.hub.edges(self.loop.time())))
--- a/shedgrade/core/front.py
+++ b/shedgrade/core/front.py
@@ -2,11 +2,14 @@
 import asyncio
 from collections.abc import Callable
 from time import monotonic
+from typing import TYPE_CHECKING
 
-from shedgrade.core.pool import Pool
 from shedgrade.log import logger
 from shedgrade.memory.budget import Budget
 
+if TYPE_CHECKING:
+    from shedgrade.core.pool import Pool
+
 BETWEEN = 10.0          # s between two lines about the same crowd
 CROWDED = 4             # part of the connections there is room for: calm days use a tenth, and clients,
                         # who hold a third of the descriptors at most, have as many again
@@ -18,8 +21,8 @@
     """The application's side of one pool: its connections, the longest unused first, and the room for
     more."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, pool: Pool, budget: Budget, ready: Callable[[], bool],
-                 leaving: Callable[[], bool]) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, pool: "Pool", budget: Budget,
+                 ready: Callable[[], bool], leaving: Callable[[], bool]) -> None:
         """`ready`: what `/up` answers; `leaving`: answers end their connection, as the process drains."""
         self.loop, self.pool, self.budget, self.ready, self.leaving = loop, pool, budget, ready, leaving
         self.turn = pool.turn
--- /dev/null
+++ b/shedgrade/dataplane/engine.py
@@ -0,0 +1,91 @@
+"""One connection to an upstream that serves a model: streams go on as they come."""
+import re
+import socket
+
+from shedgrade.memory.in_hand import Answer, Transmission
+from shedgrade.wire.connection import MessageError, passed_on
+from shedgrade.wire.upstream import UpstreamConnection
+
+UNHEARD = 1500          # ms without a word for what was sent, after which the kernel gives a connection up
+TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
+def watchful(transport) -> None:
+    """Guards against a machine without power or behind a cut, which says nothing: the kernel asks it."""
+    handle = transport.get_extra_info("socket")
+    for level, name, value in ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+                               (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+                               (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+                               (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+                               (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+                               (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD)):
+        try:
+            handle.setsockopt(level, name, value)
+        except OSError:     # it is lost already
+            return
+
+
+class EngineConnection(UpstreamConnection):
+    """Answers are told apart by the id that they echo; a success needs the upstream's seal."""
+
+    def __init__(self, caller, upstream: int, address: tuple[str, int]) -> None:
+        self.surplus = False    # what comes now answers another request, whose time is over
+        super().__init__(caller, upstream, address)
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        watchful(transport)
+
+    def begin(self, transmission: Transmission, now: int) -> None:
+        super().begin(transmission, now)
+        self.caller.spoken(self.upstream, now)
+
+    def read(self) -> None:
+        self.caller.spoke[self.upstream] = self.caller.clock.now()
+        super().read()
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        if not self.status:
+            return
+        known = {name.lower(): value for name, value in self.headers}
+        self.heed(known.get(b"keep-alive"))
+        transmission = self.transmission
+        if transmission is None:
+            return
+        echoed = known.get(b"attempt-id")
+        if echoed is not None and echoed != transmission.carried.request.name:
+            # Guards against a second answer that is late: it comes where the next one is due.
+            self.surplus, self.complete = True, False
+            return
+        if self.status // 100 != 2:
+            return
+        if echoed is None or b"server-seal" not in known or b"content-encoding" in known:
+            raise MessageError("a success that is not the upstream's")
+        if transmission.carried.streams and self.sending is None and not self.complete:
+            self.pass_on()
+
+    def heed(self, told: bytes | None) -> None:
+        """How long the upstream keeps an idle connection, in whole seconds, if it says so."""
+        found = told and TIMEOUT.search(told)
+        if found:
+            self.caller.idle_told(int(found[1]))
+
+    def on_body(self, body: bytes) -> None:
+        if not self.surplus:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        if self.surplus:
+            self.surplus = False
+            self.clear()
+            return
+        super().on_message_complete()
+
+    def finish(self) -> None:
+        transmission = self.transmission
+        if transmission is not None and self.status // 100 != 2:
+            transmission.carried.failure = Answer(passed_on(self.headers), b"".join(self.body), self.status)
+            if self.status == 421:
+                self.caller.misdirected(self.upstream)
+        super().finish()
--- /dev/null
+++ b/shedgrade/dataplane/exchange.py
@@ -0,0 +1,19 @@
+"""One try of a client's in hand: what it wants, whose turn it is, and what a failed upstream said."""
+from shedgrade.memory.in_hand import Answer, Carried, Request
+from shedgrade.serving.request import Wants
+
+
+class Exchange(Carried):
+    """`service`: the pool whose turn has it. `failure`: the last failure that an upstream answered itself.
+    `streams`: its answer goes on as it comes. `priority`: its rank at the upstream, 0 the most urgent,
+    None: untold.
+    """
+    __slots__ = ("service", "wants", "failure", "streams", "priority", "until")
+
+    def __init__(self, client: object, request: Request, service, wants: Wants, streams: bool,
+                 priority: int | None, until: int) -> None:
+        """`until`: when its client's time, or its route's, is up, in tenths of a ms on the clock."""
+        super().__init__(client, request)
+        self.service, self.wants, self.streams = service, wants, streams
+        self.priority, self.until = priority, until
+        self.failure: Answer | None = None
--- /dev/null
+++ b/shedgrade/dataplane/front.py
@@ -0,0 +1,47 @@
+"""What the clients' connections are handed: routes in force, services, room, and whether this sidecar
+leaves."""
+from random import Random
+
+from shedgrade.configuration import Limits
+from shedgrade.core.front import Front
+from shedgrade.dataplane.ingress import Turns
+from shedgrade.dataplane.routes import Routes, ServedRoute
+
+BACK = 0.1, 0.4         # s after which a client is told to try elsewhere: spread, so they don't come together
+
+
+class IngressFront(Front):
+    """`plane` is asked for routes and services; it owns them."""
+
+    def __init__(self, loop, plane, budget, random: Random) -> None:
+        self.plane, self.random, self.clock = plane, random, plane.clock
+        super().__init__(loop, Pools(plane), budget, plane.ready, plane.leaving)
+        self.turn = Turns()
+
+    @property
+    def routes(self) -> Routes | None:
+        return self.plane.routes
+
+    @property
+    def limits(self) -> Limits:
+        return self.plane.routes.limits if self.plane.routes is not None else Limits()
+
+    def refusing(self) -> bool:
+        return self.plane.refusing()
+
+    def service_of(self, route: ServedRoute):
+        return self.plane.services.get(route.service(self.random)) if route.services else None
+
+    def come_back(self) -> int:
+        """Tenths of a ms after which a refused client is to try again."""
+        return int(self.random.uniform(*BACK) * 10_000)
+
+
+class Pools:
+    """All services of a sidecar, where a front asks one pool for room."""
+
+    def __init__(self, plane) -> None:
+        self.plane, self.turn, self.caller = plane, None, self
+
+    def give_up_idle(self) -> bool:
+        return any(service.caller.give_up_idle() for service in list(self.plane.services.values()))
--- /dev/null
+++ b/shedgrade/dataplane/ingress.py
@@ -0,0 +1,129 @@
+"""The clients' side of the data plane: requests come in, are given a route, and are answered once."""
+from shedgrade.dataplane.exchange import Exchange
+from shedgrade.dataplane.routes import ServedRoute, shared_parts
+from shedgrade.dataplane.streams import ResumableStream
+from shedgrade.memory.flow import SMALL, Flow
+from shedgrade.memory.in_hand import Answer, Request
+from shedgrade.serving.request import Wants
+from shedgrade.wire.application import ApplicationConnection, relative
+from shedgrade.wire.connection import declared, passed_on
+
+OWN = frozenset((b"time-remaining", b"target-instance", b"priority"))   # written anew for each upstream
+LEAST_LEFT = 50         # ms: with less left no further leg of a stream is worth its upstream's work
+LONGEST_WAIT = 86_400_000
+
+
+class Turns:
+    """What connections tell of an exchange, passed on to the turn that has it."""
+
+    def left(self, carried: Exchange) -> None:
+        carried.service.turn.left(carried)
+
+    def came(self, carried: Exchange, here: bool, whole: bool) -> None:
+        carried.service.turn.came(carried, here, whole)
+
+
+class IngressConnection(ApplicationConnection):
+    """One connection of a client."""
+    small = 2 * SMALL
+    once = (b"attempt-id", b"time-remaining", b"host")
+
+    def __init__(self, front) -> None:
+        limits = front.limits
+        self.longest_head, self.longest_body = max(1024, limits.header_bytes), limits.body_bytes
+        self.head_time = limits.header_timeout_ms / 1000 + 0.5
+        self.comes = limits.idle_timeout_ms / 1000 + 0.5
+        self.failed: Exchange | None = None     # whose upstream's own failure the answer may be
+        super().__init__(front)
+
+    def take(self, verb: bytes, target: bytes, headers: list, body: bytes, flow: Flow | None = None) -> None:
+        front = self.front
+        self.verb, self.old = verb, self.parser.get_http_version() == "1.0"
+        target = relative(target)
+        known = self.known(headers)
+        if known is None or not target.startswith(b"/"):
+            self.refuse(400)
+            return
+        if front.routes is None or front.refusing():
+            self.unready()
+            return
+        route = front.routes.find(known.get(b"host", b""), target.split(b"?", 1)[0])
+        if route is None:
+            self.answer(404)
+            return
+        name, wait = known.get(b"attempt-id"), told_wait(known.get(b"time-remaining"), route)
+        if not name or wait is None:
+            self.refuse(400)
+            return
+        # Guards against work for nobody after a stall of our own: its client left while it waited unread.
+        if front.stalled() and self.has_left():
+            self.close()
+            return
+        kept = [(key, value) for key, value in passed_on(headers) if key.lower() not in OWN]
+        request = Request(name, verb, target, kept, body, flow, None if flow is None else declared(headers))
+        service = front.service_of(route)
+        if service is None or not front.room_for(len(request)):
+            self.exhausted(front.come_back())
+            return
+        wants = Wants(route.homes, shared_parts(known.get(b"prompt-prefix")) if route.route.session_affinity
+                      else b"", route.most, route.target)
+        client = ResumableStream(self, front.budget, self.resume) if route.resumable else self
+        until = front.clock.now() + wait * 10
+        self.carried = carried = self.failed = Exchange(client, request, service, wants, route.streams,
+                                                        route.priority, until)
+        if flow is not None:
+            flow.lost = lambda: service.turn.came(carried, False, not carried.coming)
+        service.turn.arrived(carried, route.method, wait)
+
+    def unready(self) -> None:
+        """Not served here, or not any more: nothing ran, and the next try goes elsewhere."""
+        self.last = True
+        self.exhausted(self.front.come_back())
+
+    def resume(self, last_id: bytes | None) -> bool:
+        """A further leg of a stream whose upstream broke off. False if there is none: no time, no tries
+        left, the fleet's budget is used up, or its request is not here any more."""
+        before = self.failed
+        left = (before.until - self.front.clock.now()) // 10
+        tried = before.rpc.arrived if before.rpc is not None else before.wants.most
+        repeats = before.service.repeats
+        if self.transport is None or self.transport.is_closing() or left < LEAST_LEFT or (
+                tried >= before.wants.most or before.request.flow is not None or
+                not repeats.allowed(self.front.clock.now())):
+            return False
+        wants, request = before.wants, before.request
+        ran_on = {up.index for up in before.rpc.tries}
+        headers = [pair for pair in request.headers if pair[0].lower() != b"last-event-id"]
+        if last_id is None:
+            headers = request.headers
+        else:
+            headers.append((b"Last-Event-Id", last_id))
+        again = Wants(wants.homes, wants.key, wants.most, wants.target, wants.avoid | ran_on, tried)
+        leg = Exchange(before.client, Request(request.name, request.verb, request.target, headers,
+        request.body),
+                       before.service, again, True, before.priority, before.until)
+        self.carried = self.failed = leg
+        before.service.turn.arrived(leg, 0, left)
+        return True
+
+    def errored(self) -> None:
+        """It may have run: the upstream's own failure goes back as it came, where there is one."""
+        failure = self.failed.failure if self.failed is not None else None
+        if failure is not None and failure.status >= 400 and failure.status not in (408, 421, 429, 503):
+            self.answer(failure.status, failure.headers, failure.body)
+        else:
+            self.answer(502)
+
+    def completed(self, answer: Answer | None) -> None:
+        super().completed(answer)
+        self.failed = None
+
+
+def told_wait(header: bytes | None, route: ServedRoute) -> int | None:
+    """ms that the client waits, or the route allows; None if what it says is no time."""
+    if header is None:
+        return route.timeout_ms
+    whole, _, fraction = header.partition(b".")
+    if not whole.isdigit() or (fraction and not fraction.isdigit()) or len(whole) > 9:
+        return None
+    return max(1, min(int(whole), route.timeout_ms, LONGEST_WAIT))
--- /dev/null
+++ b/shedgrade/dataplane/plane.py
@@ -0,0 +1,197 @@
+"""The data plane of one edge machine: its parts, wired to sockets and clock, from start to end."""
+import asyncio
+import gc
+import signal
+from random import Random
+
+import msgspec
+
+from shedgrade import knowledge
+from shedgrade.boot import Settings
+from shedgrade.clock import Clock
+from shedgrade.dataplane.asking import Asker, AskTo
+from shedgrade.dataplane.front import IngressFront
+from shedgrade.dataplane.ingress import IngressConnection
+from shedgrade.dataplane.service import ServicePool
+from shedgrade.dataplane.state import State
+from shedgrade.httpd import HttpServer, Reply
+from shedgrade.knowledge import LEAVING, READY, STARTING, EdgeState, Told
+from shedgrade.link.address import join
+from shedgrade.link.peer import LinkError
+from shedgrade.link.tcp import Links
+from shedgrade.log import logger
+from shedgrade.memory.budget import Budget
+from shedgrade.serving.repeats import Repeats
+from shedgrade.wire.application import Listener
+
+KNOWLEDGE = b"K"        # as the control plane tells its links' bodies apart
+RESERVED = 200          # descriptors that are kept for files
+BEAT = 0.1              # s between two looks at upstreams that have fallen silent
+LOOK_AFTER = 0.25       # s between two looks at clients' connections
+TAKES_ON = 2.5          # s after SIGTERM in which what still comes is served: clients hold addresses so long
+AT_LAST = 0.6           # s before SIGKILL at which whatever is left is ended
+LEAVES = 0.06           # s for the last answers to leave
+LOOK = 0.05             # s between two looks at whether all is answered
+
+
+class DataPlane:
+    """Owns what is known, the services, the clients' side, and the asking."""
+
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop, random: Random) -> None:
+        self.settings, self.loop, self.random = settings, loop, random
+        self.clock = Clock()
+        self.budget = Budget(max(256, settings.limits.file_descriptors - RESERVED), settings.limits.memory_mb)
+        self.state = State(settings, loop.time, self.make_pool)
+        self.front = IngressFront(loop, self, self.budget, random)
+        self.life = random.getrandbits(48)
+        self.links = Links(loop, settings.link_address, lambda sender, frame: None, settings.ip_address)
+        self.asker = Asker(self.edge_state(), settings.seed_links, random, loop.time(),
+                           beat=settings.heartbeat_ms / 1000)
+        self.leaving_since: float | None = None
+        self.closing = False
+        self.done = asyncio.Event()
+        self.tasks: set = set()
+        self.timer, self.wake = None, float("inf")
+        self.was_ready = False
+
+    # --- what the front asks
+
+    @property
+    def routes(self):
+        return self.state.routes
+
+    @property
+    def services(self) -> dict[str, ServicePool]:
+        return self.state.services
+
+    def ready(self) -> bool:
+        return self.leaving_since is None and self.state.ready()
+
+    def leaving(self) -> bool:
+        return self.leaving_since is not None
+
+    def refusing(self) -> bool:
+        return self.leaving_since is not None and self.loop.time() - self.leaving_since > TAKES_ON
+
+    def make_pool(self, name: str, repeats: Repeats) -> ServicePool:
+        settings = self.settings
+        return ServicePool(name, self.state.regions, settings.region, self.random.getrandbits(32), self.loop,
+                           self.clock, self.budget, repeats, settings.node_name)
+
+    # --- from start to end
+
+    async def serve(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.leave)
+        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        listen = self.settings.listen
+        self.listener = Listener(self.loop, self.front, listen["front"], IngressConnection)
+        self.readiness = HttpServer(self.loop, listen["readiness"], self.tell_ready, logger)
+        await self.readiness.start()
+        self.listener.resume()
+        gc.collect()
+        gc.freeze()
+        self.ask()
+        self.beat()
+        self.look_after()
+        await self.done.wait()
+        self.links.close()
+        self.readiness.close()
+
+    def tell_ready(self, request, tell) -> None:
+        tell(Reply(200 if self.ready() else 503))
+
+    def leave(self) -> None:
+        """SIGTERM: no more clients are sent here; what is in hand, and what comes for a while, is served."""
+        if self.leaving_since is not None:
+            return
+        self.leaving_since = self.loop.time()
+        self.asker.changed(self.loop.time(), self.edge_state())
+        self.ask()
+        grace = self.settings.bounds["graceS"]
+        self.loop.call_later(TAKES_ON, self.close_idle)
+        self.loop.call_later(max(TAKES_ON, grace - AT_LAST), self.conclude)
+
+    def close_idle(self) -> None:
+        """Ends once all that was taken has been answered."""
+        if self.done.is_set():
+            return
+        self.front.close_idle()
+        if self.listener is not None and not self.listener.waiting():
+            self.listener.close()
+        busy = len(self.front.clients) + sum(len(pool.turn.in_hand) for pool in self.services.values())
+        if busy:
+            self.loop.call_later(LOOK, self.close_idle)
+        else:
+            self.done.set()
+
+    def conclude(self) -> None:
+        """Whatever is left gets its final answer while that can still leave."""
+        if self.done.is_set():
+            return
+        logger.warning("{} connections are cut at the end", len(self.front.clients))
+        for pool in self.services.values():
+            pool.turn.conclude()
+        self.loop.call_later(LEAVES, self.done.set)
+
+    def beat(self) -> None:
+        for pool in self.services.values():
+            pool.look()
+        if self.ready() != self.was_ready:
+            self.was_ready = not self.was_ready
+            self.asker.changed(self.loop.time(), self.edge_state())
+            self.ask()
+        if not self.done.is_set():
+            self.loop.call_later(BEAT, self.beat)
+
+    def look_after(self) -> None:
+        self.front.look_after()
+        if not self.done.is_set():
+            self.loop.call_later(LOOK_AFTER, self.look_after)
+
+    # --- asking
+
+    def edge_state(self) -> EdgeState:
+        settings = self.settings
+        word = LEAVING if getattr(self, "leaving_since", None) is not None else (
+            READY if getattr(self, "state", None) and self.state.ready() else STARTING)
+        return EdgeState(settings.node_name, join(settings.listen["front"]), settings.zone, settings.region,
+                         self.life, word)
+
+    def ask(self) -> None:
+        """Carries out what the asker wants, takes what it was told, and sets the timer."""
+        effects, self.asker.effects[:] = list(self.asker.effects), []
+        for effect in effects:
+            if isinstance(effect, AskTo):
+                task = self.loop.create_task(self.call(effect))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+        updates, self.asker.updates[:] = list(self.asker.updates), []
+        if updates:
+            try:
+                self.state.apply(updates)
+            except (ValueError, TypeError, AttributeError) as wrong:
+                logger.error("what the control plane told is not understood: {!r}", wrong)
+        at = self.asker.wake_at()
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_at(max(at, self.loop.time() + 0.001), self.alarm) if (
+            at != float("inf") and not self.done.is_set()) else None
+
+    def alarm(self) -> None:
+        self.timer = None
+        self.asker.tick(self.loop.time())
+        self.ask()
+
+    async def call(self, effect: AskTo) -> None:
+        try:
+            asked = KNOWLEDGE + knowledge.encode(effect.ask)
+            body = await self.links.call(effect.address, asked, effect.timeout)
+            told = knowledge.decode(body[1:])
+        except (LinkError, msgspec.MsgspecError, ValueError):
+            told = None
+        if isinstance(told, Told):
+            self.asker.answered(self.loop.time(), effect.address, told)
+        else:
+            self.asker.failed(self.loop.time(), effect.address)
+        self.ask()
--- /dev/null
+++ b/shedgrade/dataplane/routes.py
@@ -0,0 +1,59 @@
+"""The routes in force on this sidecar: what a request for a host and a path may be given."""
+from random import Random
+
+from shedgrade.configuration import STREAMING, Configuration, Route
+from shedgrade.matching.routes import RouteTree
+from shedgrade.serving.request import IDEMPOTENT, ONCE
+
+LEAST_SHARED = 64       # tokens of shared parts for which a request keeps to their holder
+
+
+class ServedRoute:
+    """A route as requests use it: times in tenths of a ms, regions by number, services with their weights."""
+    __slots__ = ("route", "method", "streams", "resumable", "homes", "target", "timeout_ms", "services",
+                 "weights", "most", "priority")
+
+    def __init__(self, route: Route, regions: dict[str, int]) -> None:
+        self.route = route
+        self.streams = route.route_class == STREAMING
+        self.method = IDEMPOTENT if route.repeatable() else ONCE
+        self.resumable = self.streams and route.resumable
+        self.homes = frozenset(regions[name] for name in route.home_regions if name in regions) if (
+            route.home_regions) else None
+        self.target, self.timeout_ms = int(route.target_ms * 10), max(1, int(route.timeout_ms))
+        weights = {name: weight for name, weight in route.weights().items() if weight > 0}
+        self.services, self.weights = list(weights), list(weights.values())
+        self.most = max(1, route.max_attempts)
+        self.priority = min(9, max(0, route.priority)) if self.streams else None
+
+    def service(self, random: Random) -> str:
+        return self.services[0] if len(self.services) == 1 else random.choices(self.services, self.weights)[0]
+
+
+class Routes:
+    """All routes of one configuration."""
+
+    def __init__(self, configuration: Configuration, regions: dict[str, int]) -> None:
+        self.version, self.limits = configuration.version, configuration.limits
+        self.services = {service.name: service for service in configuration.services}
+        self.tree = RouteTree((route.host.encode(), route.path_prefix.encode(), ServedRoute(route, regions))
+                              for route in configuration.routes)
+
+    def find(self, host: bytes, path: bytes) -> ServedRoute | None:
+        return self.tree.find(host, path)
+
+
+def shared_parts(header: bytes | None) -> bytes:
+    """The parts of a prompt that others may share: all but the last, b"" if they are too short to matter.
+
+    >>> shared_parts(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+    b'5c1e07a2:800,91bd3f06:410'
+    """
+    if not header:
+        return b""
+    shared = header.rpartition(b",")[0]
+    try:
+        tokens = sum(int(part.rpartition(b":")[2]) for part in shared.split(b",")) if shared else 0
+    except ValueError:
+        return b""
+    return shared if tokens >= LEAST_SHARED else b""
--- /dev/null
+++ b/shedgrade/dataplane/service.py
@@ -0,0 +1,97 @@
+"""One service: its upstreams by region, their decisions, the turn and the caller."""
+from collections.abc import Iterable
+
+from shedgrade import decide
+from shedgrade.dataplane.caller import EngineCaller
+from shedgrade.dataplane.protocol import SystemProtocol
+from shedgrade.knowledge import Instance
+from shedgrade.memory.upstreams import Addresses, Indices
+from shedgrade.serving.balancer import ServingBalancer
+from shedgrade.serving.repeats import Repeats
+from shedgrade.turn import Turn
+
+SUSPECT = 10_000        # tenths of a ms without a word from an upstream that has work of ours
+
+
+class ServicePool:
+    """Shares clock and budget with the other services of this sidecar."""
+
+    def __init__(self, name: str, regions: dict[str, int], own: str, seed: int, loop, clock, budget,
+                 repeats: Repeats, me: str) -> None:
+        """`regions`: numbers by name; `own`: the name of this sidecar's; `me`: its name."""
+        self.name, self.regions, self.clock, self.loop = name, regions, clock, loop
+        self.indices, self.addresses = Indices(), Addresses()
+        self.balancer = ServingBalancer(list(regions), regions[own], seed, clock.now(), repeats, me)
+        self.repeats, self.cold_s = repeats, 0.0
+        self.states: dict[int, int] = {}
+        protocol = SystemProtocol(self.indices.ids)
+        self.caller = EngineCaller(loop, clock, self.addresses.known, budget, protocol, self.misdirected)
+        self.turn = Turn(loop, clock, self.balancer, self.caller, self.indices.ids, budget, self.forget)
+        self.caller.turn = self.turn
+
+    def retuned(self, cold_s: float, cold_rate: float) -> None:
+        """As the operator's configuration says of the service."""
+        self.cold_s, self.balancer.cold_rate = cold_s, cold_rate
+
+    def counted(self, sidecars: int) -> None:
+        """The largest count of sidecars known lately."""
+        self.balancer.sidecars = self.repeats.sidecars = max(1, sidecars)
+
+    def listed(self, instances: Iterable[Instance], region_of: dict[str, str], evacuated: frozenset[str],
+               returned: frozenset[str] = frozenset()) -> None:
+        """The whole list of this service's upstreams. What is evacuated counts as draining; what has just
+        `returned` from that counts as cold, as it may be, until the list is sure to say so itself."""
+        now, rows, leaving = self.clock.now(), [], []
+        for one in instances:
+            region = region_of.get(one.zone)
+            host, _, port = one.address.rpartition(":")
+            if region is None or not host or not port.isdigit():
+                continue
+            ready = one.state == "available" and one.zone not in evacuated
+            row = self.indices.row(one.id, self.regions[region], decide.READY if ready else decide.DRAINING,
+                                   0, 0, 1.0, 0)
+            rows.append(row)
+            index = row[0]
+            if self.addresses.move(index, (host, int(port))) or not ready:
+                leaving.append(index)
+            cold = now + int(one.cold_left_ms * 10) if one.cold_left_ms > 0 else 0
+            if ready and one.zone in returned:
+                cold = max(cold, now + int(self.cold_s * 10_000))
+            self.balancer.cold_until[index] = max(cold, self.balancer.cold_until.get(index, 0))
+        named = {row[0] for row in rows}
+        leaving += [index for index in self.states if index not in named]
+        self.states = {row[0]: row[2] for row in rows}
+        self.turn.listed(rows, True, False)
+        for index in leaving:
+            self.caller.withdraw(index)
+
+    def ready(self) -> int:
+        return sum(state == decide.READY for state in self.states.values())
+
+    def misdirected(self, upstream: int) -> None:
+        """Another incarnation is at its address: this one is gone, whatever the list says."""
+        self.turn.gather(self.gone, upstream)
+
+    def gone(self, now: int, upstream: int) -> None:
+        up = self.balancer.ups.get(upstream)
+        if up is not None:
+            self.balancer.set_aside(now, up, True)
+            self.caller.forget(upstream)
+
+    def look(self) -> None:
+        """Guards against a machine that went dark: kept connections to it stay open and silent, and
+        streams of others still count as work there."""
+        now = self.clock.now()
+        for index, up in list(self.balancer.ups.items()):
+            since = self.caller.silent_since(index) if up.flight else None
+            if since is not None and now - since > SUSPECT and not up.aside_until:
+                self.turn.gather(self.suspect, index)
+
+    def suspect(self, now: int, upstream: int) -> None:
+        self.balancer.suspected(now, upstream)
+        self.caller.forget(upstream)
+
+    def forget(self, upstream: int) -> None:
+        self.indices.release(upstream)
+        self.addresses.known.pop(upstream, None)
+        self.caller.drop(upstream)
--- /dev/null
+++ b/shedgrade/dataplane/state.py
@@ -0,0 +1,95 @@
+"""What this sidecar knows: routes in force, services, upstreams, evacuated zones. Told by the control
+plane."""
+from collections.abc import Callable, Iterable
+
+from shedgrade.configuration import parse
+from shedgrade.dataplane.routes import Routes
+from shedgrade.dataplane.service import ServicePool
+from shedgrade.knowledge import ControlChange, Counts, Instance, ListMoved, unpacked
+from shedgrade.log import logger
+from shedgrade.serving.repeats import Repeats
+
+RETURNED = 1.0          # s beyond the list's lag for which what the list says of a returned zone may be old
+
+
+class State:
+    """`make_pool(name, repeats)` makes a service's pool. Applied whole or not at all."""
+
+    def __init__(self, settings, now: Callable[[], float],
+                 make_pool: Callable[[str, Repeats], ServicePool]) -> None:
+        self.zones = settings.zones
+        self.regions = {name: number for number, name in enumerate(sorted(set(settings.zones.values())))}
+        self.bounds, self.lag = settings.bounds, settings.cloud_api.max_lag_ms / 1000
+        self.now, self.make_pool = now, make_pool
+        self.routes: Routes | None = None
+        self.services: dict[str, ServicePool] = {}
+        self.instances: dict[str, Instance] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.returned: dict[str, float] = {}    # zones once evacuated, until the list is sure to know it
+        self.sidecars = 1
+
+    def apply(self, updates: Iterable[object]) -> None:
+        for update in updates:
+            match update:
+                case ControlChange():
+                    self.controlled(update)
+                case ListMoved():
+                    self.moved(update)
+                case Counts(edges, _):
+                    self.sidecars = max(1, edges)
+                    for service in self.services.values():
+                        service.counted(self.sidecars)
+
+    def controlled(self, change: ControlChange) -> None:
+        raw = unpacked(change)
+        if raw is not None:
+            self.configured(Routes(parse(raw), self.regions))
+        evacuated = frozenset(change.evacuations)
+        if evacuated != self.evacuated:
+            until = self.now() + self.lag + RETURNED
+            for zone in self.evacuated - evacuated:
+                self.returned[zone] = until
+            self.evacuated = evacuated
+            self.relist(self.services)
+
+    def configured(self, routes: Routes) -> None:
+        before = self.routes.services if self.routes is not None else {}
+        self.routes = routes
+        for name, service in routes.services.items():
+            pool = self.services.get(name)
+            if pool is None:
+                repeats = Repeats(self.bounds["retryBudgetRatio"], self.bounds["retrySlack"],
+                                  int(self.bounds["retryWindowS"] * 10_000))
+                pool = self.services[name] = self.make_pool(name, repeats)
+                pool.counted(self.sidecars)
+                self.relist((name,))
+            if before.get(name) != service:
+                pool.retuned(service.cold_start_s, service.cold_rate_s)
+        logger.info("configuration {} is in force, {} services", routes.version, len(routes.services))
+
+    def moved(self, change: ListMoved) -> None:
+        if change.whole:
+            touched = {one.service for one in self.instances.values()}
+            self.instances = {}
+        else:
+            gone = [self.instances.pop(name, None) for name in change.removed]
+            touched = {one.service for one in gone if one is not None}
+        for one in change.changed:
+            self.instances[one.id] = one
+            touched.add(one.service)
+        self.relist(touched)
+
+    def relist(self, names: Iterable[str]) -> None:
+        now = self.now()
+        self.returned = {zone: until for zone, until in self.returned.items() if until > now}
+        by_service: dict[str, list[Instance]] = {}
+        for one in self.instances.values():
+            by_service.setdefault(one.service, []).append(one)
+        for name in names:
+            pool = self.services.get(name)
+            if pool is not None:
+                pool.listed(by_service.get(name, ()), self.zones, self.evacuated, frozenset(self.returned))
+
+    def ready(self) -> bool:
+        """Requests can be served: routes are in force and upstreams are known."""
+        return self.routes is not None and any(pool.ready() for pool in self.services.values())
--- /dev/null
+++ b/shedgrade/serving/__init__.py
@@ -0,0 +1,11 @@
+"""Decisions that only the system needs, beside `decide/`: no clock, no I/O, times in tenths of a millisecond.
+
+`ServingBalancer` is `decide.Balancer` with four things handed in: what a request may reach (homes,
+upstreams tried), what a cold upstream may get (`cold`), which upstream holds its prompt (`prefix`), and
+whether the fleet's budget lets it go again (`repeats`). Gate, own region, draw by upstream count and
+rotation are the module's own.
+"""
+from shedgrade.serving.balancer import ServingBalancer
+from shedgrade.serving.request import IDEMPOTENT, ONCE, ServingRpc, Wants
+
+__all__ = ["IDEMPOTENT", "ONCE", "ServingBalancer", "ServingRpc", "Wants"]
--- /dev/null
+++ b/shedgrade/serving/balancer.py
@@ -0,0 +1,92 @@
+"""The decisions of one sidecar for one service of the system."""
+from math import inf
+
+from shedgrade.decide.balancer import Balancer
+from shedgrade.decide.rpc import Rpc
+from shedgrade.decide.upstream import SECOND, Upstream
+from shedgrade.decide.zones import Zone
+from shedgrade.serving.cold import ColdShares
+from shedgrade.serving.prefix import Prefixes
+from shedgrade.serving.repeats import Repeats
+from shedgrade.serving.request import ServingRpc, Wants
+
+MARGIN = 1.0        # in flight over the region's mean up to which the holder of a prompt is taken
+MOST = 6            # transmissions of one try, those included that never arrived
+BACK = 0.25, 0.75   # s after which a client is told to come back: spread, so that they don't come together
+
+
+def settings(regions: list[str], own: int) -> dict:
+    """What `decide.Balancer` wants to be told. Two methods: what may run again, and what may not."""
+    method = {"soft_deadline": 1000.0, "hard_deadline": 60_000.0, "payoff": 1.0, "overdue_payoff": 1.0,
+              "group": "all", "repeat_window": 0.0}
+    return {"az": own, "balancers": 1, "tick": 1.0, "membership_mode": "pushed", "zones": regions,
+            "prices": {},
+            "methods": [{**method, "name": "idempotent", "idempotency": "repeatable"},
+                        {**method, "name": "once", "idempotency": "never"}],
+            "limits": {"most_transmissions": MOST, "parallel_tries": False, "cancelling": True,
+            "retry_after": True,
+                       "max_retry_after": 1000.0},
+            "rules": {"cold": 0, "cold_from": 1.0, "fall_multiple": 1.0, "ask_every": 10_000.0}}
+
+
+class ServingBalancer(ColdShares, Balancer):
+    """`decide.Balancer` for streams of a model: no windows and no times foreseen, as an upstream's batch
+    takes what comes; places are kept until a stream ends."""
+    handle = ServingRpc
+    threshold = 2.0
+
+    def __init__(self, regions: list[str], own: int, seed: int, now: int, repeats: Repeats,
+                 name: str = "") -> None:
+        self.cold_until: dict[int, int] = {}    # by upstream, as the list tells
+        self.prefixes, self.repeats, self.name = Prefixes(), repeats, name
+        super().__init__(settings(regions, own), seed, now)
+        for number, zone in enumerate(self.zones):
+            zone.number = number
+
+    def relisted(self) -> None:
+        super().relisted()
+        self.prefixes.moved()
+        for zone in self.zones:
+            zone.window = inf
+
+    def choose(self, now: int, rpc: ServingRpc, stay: bool) -> Upstream | None:
+        """Guards against a refusal while something could be tried: what returns first, one request at a
+        time."""
+        return super().choose(now, rpc, stay) or self.last_resort(now, rpc)
+
+    def room(self, up: Upstream, now: int, left: int, expected: float) -> bool:
+        return not (up.trial and up.flight) and (not self.is_cold(up, now) or self.cold_room(up, now))
+
+    def expected(self, up: Upstream, now: int) -> float:
+        up.fade(now, self.memory)
+        return 1.0      # every upstream takes all its turns; in flight tells which are passed over
+
+    def measure(self, now: int, up: Upstream, took: int, crowd: int, rpc: Rpc) -> None:
+        """Times of streams follow their lengths, not their upstreams: nothing is learnt of them."""
+
+    def rotate(self, zone: Zone, now: int, rpc: ServingRpc, left: int) -> Upstream | None:
+        wants: Wants = rpc.tag.wants
+        if wants.key and len(zone.ring) > 1:
+            bar = zone.flight / len(zone.ring) + MARGIN
+            for up in self.prefixes.holders(zone, wants.key):
+                if up.flight <= bar and up not in rpc.tries and rpc.allowed(up, now) and self.room(
+                        up, now, left, 1.0):
+                    return self.chosen(up, now)
+        return super().rotate(zone, now, rpc, left)
+
+    def served(self, now: int, up: Upstream, wants: Wants) -> None:
+        """A request ended well there."""
+
+    def retry_after(self, now: int, rpc: ServingRpc) -> int:
+        return int(self.span(*BACK) * SECOND)
+
+    def suspected(self, now: int, upstream: int) -> None:
+        """Nothing comes from it though it has work of ours: no more goes there for a while."""
+        up = self.ups.get(upstream)
+        if up is not None:
+            self.set_aside(now, up, False)
+
+    def release(self, up: Upstream) -> None:
+        super().release(up)
+        if up.index not in self.ups:
+            self.cold_until.pop(up.index, None)
--- /dev/null
+++ b/shedgrade/serving/cold.py
@@ -0,0 +1,37 @@
+"""What a cold upstream may get, summed over all sidecars without a word among them.
+
+Guards against a fleet whose every member sends a little: a rate over a hundred sidecars is under one
+request in seconds each, and a burst of one from each is far over the bound. So few sidecars send to one
+cold upstream, chosen by a hash of both names (rendezvous), and deal the rate among themselves.
+"""
+from zlib import crc32
+
+from shedgrade.decide.upstream import SECOND, Upstream
+
+PART = 0.7          # of the rate is dealt: the count of sidecars lags, and sends bunch on their way
+FEW = 4             # sidecars for one cold upstream, where there are more
+
+
+class ColdShares:
+    """The part of `decide.Cold` that differs: who is cold is told by the list, for how long and at what
+    rate."""
+    cold_rate = 0.0         # requests a second that a cold upstream bears, all sidecars together
+    sidecars, name = 1, ""  # the largest count of sidecars known lately; this one's name
+
+    def is_cold(self, up: Upstream, now: int) -> bool:
+        return now < self.cold_until.get(up.index, 0)
+
+    def cold_share(self, up: Upstream) -> float:
+        """Requests a second that this sidecar may send it."""
+        if self.sidecars <= FEW or not self.cold_rate:
+            return PART * self.cold_rate / max(1, self.sidecars)
+        chosen = crc32(b"%d:%s" % (up.mark or 0, self.name.encode())) / 2**32 < FEW / self.sidecars
+        return PART * self.cold_rate / FEW if chosen else 0.0
+
+    def cold_room(self, up: Upstream, now: int) -> bool:
+        if not self.cold_rate:
+            return True     # no bound is told
+        since = max(0, now - up.cold_stamp) if up.cold_stamp else 0
+        up.cold_turns = min(1.0, up.cold_turns + since / SECOND * self.cold_share(up))
+        up.cold_stamp = now
+        return up.cold_turns >= 1
--- /dev/null
+++ b/shedgrade/serving/prefix.py
@@ -0,0 +1,37 @@
+"""Which upstream holds the shared parts of a prompt.
+
+Rendezvous hashing (Thaler and Ravishankar, 1998) over the upstreams of the region that the mechanism
+chose: every sidecar finds the same ones without a word. Bounded as in "Consistent Hashing with Bounded
+Loads" (Mirrokni, Thorup, Zadimoghaddam, 2016): one well above the region's mean in flight is passed over,
+as the mechanism does.
+"""
+from zlib import crc32
+
+from shedgrade.decide.upstream import Upstream
+from shedgrade.decide.zones import Zone
+
+HOLDERS = 2         # upstreams of a region that are taken to hold the parts: the second serves the rest
+KEYS = 4096         # keys whose order is remembered
+
+
+def weigh(key: bytes, mark: int) -> int:
+    return crc32(mark.to_bytes(4, "little"), crc32(key)) * 2654435761 % 2**32
+
+
+class Prefixes:
+    """Orders upstreams by key; an order holds until the region's rotation changes."""
+
+    def __init__(self) -> None:
+        self.orders: dict[tuple[int, bytes], tuple[Upstream, ...]] = {}
+
+    def moved(self) -> None:
+        self.orders.clear()
+
+    def holders(self, zone: Zone, key: bytes) -> tuple[Upstream, ...]:
+        order = self.orders.get((zone.number, key))
+        if order is None or any(up not in zone.ring for up in order):
+            if len(self.orders) >= KEYS:
+                self.orders.clear()
+            ranked = sorted(zone.ring, key=lambda up: weigh(key, up.mark or 0), reverse=True)
+            order = self.orders[zone.number, key] = tuple(ranked[:HOLDERS])
+        return order
--- /dev/null
+++ b/shedgrade/serving/repeats.py
@@ -0,0 +1,51 @@
+"""The fleet's budget of repeats: arrivals at a service beyond the first of each request.
+
+Summed over all sidecars they may not exceed a part of the requests and a slack within a window. Each
+sidecar keeps to the part of its own requests and to its share of the slack, dealt by the largest count of
+sidecars known lately, so the sum holds whatever one of them does not know.
+"""
+from collections import deque
+
+from shedgrade.decide.upstream import SECOND
+
+CAUTION = 0.8       # of what is allowed is used: windows slide, and counts of sidecars lag
+
+
+class Repeats:
+    """Counts by tenth of a window; `ratio` and `slack` as told, `window` in tenths of a ms."""
+
+    def __init__(self, ratio: float, slack: float, window: int) -> None:
+        self.ratio, self.slack, self.window = ratio, slack, max(SECOND, window)
+        self.sidecars = 1
+        self.step = self.window // 10
+        self.counts: deque[list[int]] = deque()     # [tenth, requests, repeats], the oldest first
+        self.requests = self.repeats = 0
+
+    def look(self, now: int) -> None:
+        tenth = now // self.step
+        while self.counts and self.counts[0][0] < tenth - 10:
+            _, requests, repeats = self.counts.popleft()
+            self.requests -= requests
+            self.repeats -= repeats
+        if not self.counts or self.counts[-1][0] != tenth:
+            self.counts.append([tenth, 0, 0])
+
+    def count(self, now: int, requests: int, repeats: int) -> None:
+        self.look(now)
+        self.counts[-1][1] += requests
+        self.counts[-1][2] += repeats
+        self.requests += requests
+        self.repeats += repeats
+
+    def sent(self, now: int, repeat: bool) -> None:
+        self.count(now, int(not repeat), int(repeat))
+
+    def took_back(self, now: int, repeat: bool) -> None:
+        """It never arrived: it counts as neither."""
+        self.count(now, -int(not repeat), -int(repeat))
+
+    def allowed(self, now: int) -> bool:
+        """One more repeat keeps this sidecar within its share."""
+        self.look(now)
+        share = self.ratio * max(0, self.requests) + self.slack / max(1, self.sidecars)
+        return self.repeats + 1 <= CAUTION * share
--- /dev/null
+++ b/tests/serving/test_serving_choice.py
@@ -0,0 +1,138 @@
+"""The system's decisions beside the module: homes, cold shares, prompts, the fleet's budget, repeats."""
+from types import SimpleNamespace
+
+import pytest
+
+from shedgrade.decide import outcomes
+from shedgrade.serving import IDEMPOTENT, ONCE, ServingBalancer, Wants
+from shedgrade.serving.repeats import Repeats
+
+SECOND = 10_000
+
+
+def balancer(regions=("a", "b"), own=0, ups=((0, 0), (1, 0), (2, 1), (3, 1)), slack=100.0, ratio=0.2, name="n1"):
+    made = ServingBalancer(list(regions), own, 7, 0, Repeats(ratio, slack, 10 * SECOND), name)
+    made.list_changed(0, [(index, region, outcomes.READY, 0, 0, 1000 + index, 1.0, 0) for index, region in ups],
+                      True, False)
+    return made
+
+
+def take(made, now=0, method=IDEMPOTENT, give_up_at=50_000, **wants):
+    rpc = made.take(now, method, give_up_at, False, SimpleNamespace(wants=Wants(**wants)), 0)
+    return rpc, rpc.decide(now)
+
+
+def test_own_region_in_rotation():
+    made = balancer()
+    assert {take(made)[1][0] for _ in range(2)} == {0, 1}
+
+
+def test_at_the_threshold_the_worst_region_is_dropped():
+    made = balancer()
+    for _ in range(4):
+        take(made)
+    assert take(made)[1][0] in (2, 3)
+
+
+def test_homes_leave_the_own_region_out():
+    made = balancer()
+    assert {take(made, homes=frozenset({1}))[1][0] for _ in range(6)} == {2, 3}
+
+
+def test_no_home_is_ready_so_it_is_refused_at_once_with_when_to_come_back():
+    made = balancer(ups=((0, 0), (1, 0)))
+    what, wait = take(made, homes=frozenset({1}))[1]
+    assert what == outcomes.EXHAUSTED and 0 < wait <= SECOND
+
+
+@pytest.mark.parametrize("outcome", [outcomes.FAILED, outcomes.DROPPED, outcomes.TIMED_OUT])
+def test_what_may_have_run_once_goes_nowhere_else(outcome):
+    made = balancer()
+    rpc, _ = take(made, method=ONCE, most=3)
+    rpc.ended(100, 0, outcome, 100, False)
+    assert rpc.decide(100) == (outcomes.ERRORED, 0)
+
+
+def test_what_never_ran_goes_elsewhere_within_its_attempts():
+    made = balancer()
+    rpc, (first, _) = take(made, method=ONCE, most=2)
+    rpc.ended(100, 0, outcomes.TURNED_AWAY, 100, False)
+    second, _ = rpc.decide(100)
+    assert second != first
+    rpc.ended(200, 1, outcomes.TURNED_AWAY, 100, False)
+    assert rpc.decide(200)[0] == outcomes.EXHAUSTED
+
+
+def test_a_connection_that_never_came_up_is_no_attempt():
+    made = balancer()
+    rpc, _ = take(made, method=ONCE, most=1)
+    rpc.ended(100, 0, outcomes.UNCONNECTED, 100, False)
+    assert rpc.decide(100)[0] >= 0
+    assert made.repeats.repeats == 0
+
+
+def test_a_broken_stream_that_may_run_again_does():
+    made = balancer()
+    rpc, (first, _) = take(made, most=2)
+    rpc.ended(100, 0, outcomes.DROPPED, 100, False)
+    assert rpc.decide(100)[0] not in (first, outcomes.ERRORED, outcomes.EXHAUSTED)
+
+
+def test_the_fleets_budget_binds():
+    made = balancer(slack=12.0, ratio=0.0)
+    made.repeats.sidecars = 6
+    gone_again = 0
+    for number in range(20):
+        rpc, _ = take(made, now=number, most=2)
+        rpc.ended(number, 0, outcomes.DROPPED, 1, False)
+        gone_again += rpc.decide(number)[0] >= 0
+    assert gone_again == 1      # a sixth of 12, four fifths of it
+
+
+def test_earlier_legs_count_as_attempts_and_are_not_met_again():
+    made = balancer(ups=((0, 0), (1, 0)))
+    assert take(made, most=2, before=2)[1][0] == outcomes.EXHAUSTED
+    assert {take(made, most=3, before=1, avoid=frozenset({0}))[1][0] for _ in range(4)} == {1}
+
+
+def test_a_stream_stays_in_flight_until_it_ends():
+    made = balancer()
+    rpc, (index, _) = take(made)
+    rpc.started(True)
+    assert made.ups[index].flight == 1
+    rpc.ended(5000, 0, outcomes.COMPLETED, 10, True)
+    assert made.ups[index].flight == 0
+
+
+def test_sidecars_together_keep_to_a_cold_upstreams_rate():
+    for sidecars in (1, 6, 67, 540):
+        sent = []
+        for number in range(sidecars):
+            made = balancer(ups=((0, 0),), name=f"edge-{number}")
+            made.sidecars, made.cold_rate, made.cold_until[0] = sidecars, 6.0, 4 * SECOND
+            for now in range(1, 3 * SECOND, 200):
+                rpc, (what, _) = take(made, now=now)
+                if what >= 0:
+                    sent.append(now)
+                    rpc.ended(now, 0, outcomes.COMPLETED, 1, True)
+        worst = max((sum(start <= at < start + SECOND for at in sent) for start in sent), default=0)
+        assert worst <= 6 * 1.5 + 5, (sidecars, worst)
+
+
+def test_a_shared_prompt_goes_to_one_holder_in_every_sidecar():
+    ups = tuple((index, 0) for index in range(12))
+    first = {take(balancer(ups=ups, name=f"n{number}"), key=b"aa:100")[1][0] for number in range(8)}
+    assert len(first) == 1
+
+
+def test_a_holder_well_above_the_mean_is_passed_over():
+    made = balancer(ups=tuple((index, 0) for index in range(6)))
+    taken = [take(made, key=b"aa:100")[1][0] for _ in range(12)]
+    assert len(set(taken)) == 6
+    assert max(made.ups[index].flight for index in taken) <= 4
+
+
+def test_a_silent_upstream_is_suspected_and_the_rest_serve():
+    made = balancer()
+    made.suspected(0, 0)
+    assert 0 not in {take(made)[1][0] for _ in range(6)}
