Delivery: edges ask with what they hold, and are answered when it moves

Edges need control state and the list soon after either moves, from any core member, and never older than they hold. A hub parks one ask an edge and answers it on a move or after a beat; as an ask is a heartbeat, the directory of edges is kept beside it and merged among the members.

--- /dev/null
+++ b/shedgrade/controlplane/delivery.py
@@ -0,0 +1,219 @@
+"""Delivery: edges ask with the versions they hold, and are answered when one moves, or after a beat.
+
+Sans I/O: time is handed in, answers go out by the `reply` that came with an ask. An ask is its edge's
+heartbeat, so the directory of edges is kept here too, merged from what each core member has heard itself.
+"""
+from collections.abc import Callable, Iterable, Mapping
+from math import inf
+
+import orjson
+
+from shedgrade.controlplane.platform import InstanceList
+from shedgrade.knowledge import (
+    LEAVING,
+    NEVER,
+    Ask,
+    ControlChange,
+    EdgeHeard,
+    EdgeSeen,
+    EdgesKnown,
+    EdgeState,
+    ListMoved,
+    Told,
+    packed,
+)
+from shedgrade.log import logger
+
+LONGEST_WAIT = 10.0     # s that an ask may be parked, whatever it says
+MOST_PARKED = 4096      # asks; beyond it they are answered at once
+UNHEARD = 1.0           # s beyond its wait after which an edge is not listed
+COUNTED = 3.0           # s beyond its wait in which an edge still counts: shares dealt by a low count add up
+RECOUNT = 0.1           # s between two counts: each answer carries one
+FORGOTTEN = 30.0        # s after which nothing is known of an edge
+LEFT = 10.0             # s in which the word of an edge that leaves goes before what others heard earlier
+
+
+class Parked:
+    """An ask that waits for something newer."""
+
+    __slots__ = ("ask", "reply", "at", "until")
+
+    def __init__(self, ask: Ask, reply: Callable[[Told], None], at: float) -> None:
+        self.ask, self.reply, self.at = ask, reply, at
+        self.until = at + min(max(ask.wait, 0.0), LONGEST_WAIT)
+
+
+class Heard:
+    """An edge as it was last heard, by this member (`own`) or by another."""
+
+    __slots__ = ("edge", "at", "wait", "own")
+
+    def __init__(self, edge: EdgeState, at: float, wait: float, own: bool) -> None:
+        self.edge, self.at, self.wait, self.own = edge, at, wait, own
+
+
+class Hub:
+    """Answers the asks of edges from what this core member knows.
+
+    `members`: link addresses of the core members, set by the caller. `exchange`: s between two words of
+    another member on its edges; so much later they may be known here.
+    """
+
+    def __init__(self, now: float = 0.0, *, exchange: float = 0.5) -> None:
+        self.now, self.exchange = now, exchange
+        self.members: tuple[str, ...] = ()
+        self.held = (0, 0)                          # control state: (epoch, sequence)
+        self.version, self.configuration, self.evacuations = 0, b"", ()
+        self.sent: tuple[bytes, bool] | None = None     # the configuration as it travels
+        self.list: InstanceList | None = None
+        self.primary_at: float | None = None
+        self.parked: dict[str, Parked] = {}
+        self.heard: dict[str, Heard] = {}
+        self.counted = (-inf, 0)                    # when, and how many edges
+        self.left: dict[str, tuple[int, float]] = {}    # by name: the life that leaves, and when it said so
+        self.lost: dict[str, float] = {}                # by name: when its connection ended
+
+    # --- what is known here
+
+    def control(self, now: float, epoch: int, sequence: int, state: Mapping[str, bytes]) -> None:
+        """Finished control state; what is not newer is ignored."""
+        self.now = now
+        if (epoch, sequence) <= self.held:
+            return
+        try:
+            version = int(state.get("version") or 0)
+            evacuations = tuple(orjson.loads(state.get("evacuations") or b"[]"))
+            if not all(isinstance(zone, str) for zone in evacuations):
+                raise ValueError("evacuations are no list of zones")
+        except (ValueError, TypeError) as wrong:
+            # Guards against a state of another make: edges go on with the last one that could be read.
+            logger.error("control state {}.{} can't be read: {!r}", epoch, sequence, wrong)
+            return
+        configuration = state.get("configuration") or b""
+        if configuration != self.configuration:
+            self.sent = None
+        self.held, self.version = (epoch, sequence), version
+        self.configuration, self.evacuations = configuration, evacuations
+        self.tell(now)
+
+    def instances(self, now: float, instances: InstanceList) -> None:
+        """The list moved."""
+        self.now, self.list = now, instances
+        self.tell(now)
+
+    def primary_heard(self, now: float) -> None:
+        """The primary said that this member holds the newest; called steadily by the primary itself."""
+        self.now = self.primary_at = now
+
+    # --- asks
+
+    def ask(self, now: float, ask: Ask, reply: Callable[[Told], None]) -> None:
+        """Answers now if something is newer than the edge holds, else later, exactly once; not at all if the
+        same edge asks again before, or is `gone`."""
+        self.now = now
+        self.saw(Heard(ask.edge, now, ask.wait, True))
+        parked = Parked(ask, reply, now)
+        self.parked.pop(ask.edge.name, None)
+        if self.news(parked) or parked.until <= now or len(self.parked) >= MOST_PARKED:
+            self.answer(now, parked, {})
+        else:
+            self.parked[ask.edge.name] = parked
+
+    def tick(self, now: float) -> None:
+        """Answers the asks that waited long enough, and forgets edges that are long gone."""
+        self.now = now
+        self.send(now, [parked for parked in self.parked.values() if parked.until <= now])
+        for name in [name for name, heard in self.heard.items() if now - heard.at > FORGOTTEN]:
+            del self.heard[name]
+        for name in [name for name, (_, at) in self.left.items() if now - at > LEFT]:
+            del self.left[name]
+        for name in [name for name, at in self.lost.items() if now - at > FORGOTTEN]:
+            del self.lost[name]
+
+    def wake_at(self) -> float:
+        return min((parked.until for parked in self.parked.values()), default=inf)
+
+    def tell(self, now: float) -> None:
+        self.send(now, [parked for parked in self.parked.values() if self.news(parked)])
+
+    def send(self, now: float, due: list[Parked]) -> None:
+        deltas: dict[tuple[int, int], ListMoved] = {}
+        for parked in due:
+            # An edge may ask again from within its answer; that ask stays.
+            if self.parked.get(parked.ask.edge.name) is parked:
+                del self.parked[parked.ask.edge.name]
+            self.answer(now, parked, deltas)
+
+    def news(self, parked: Parked) -> bool:
+        return self.held > tuple(parked.ask.control) or self.newer_list(parked)
+
+    def newer_list(self, parked: Parked) -> bool:
+        age = parked.ask.age_s + self.now - parked.at
+        return self.list is not None and self.list.newer_than(*parked.ask.upstreams, age, self.now)
+
+    def answer(self, now: float, parked: Parked, deltas: dict[tuple[int, int], ListMoved]) -> None:
+        ask, control, upstreams = parked.ask, None, None
+        if self.held > tuple(ask.control):
+            if self.sent is None:
+                self.sent = packed(self.configuration)
+            whole, compressed = (None, False) if ask.version == self.version else self.sent
+            control = ControlChange(*self.held, self.version, whole, self.evacuations, compressed)
+        if self.newer_list(parked):
+            base = tuple(ask.upstreams)
+            upstreams = deltas.get(base)
+            if upstreams is None:
+                upstreams = deltas[base] = self.list.answer(*base, now)
+        parked.reply(Told(
+            control, upstreams, self.count(now), self.members,
+            NEVER if self.primary_at is None else now - self.primary_at,
+            NEVER if self.list is None else self.list.age_s(now), now - parked.at))
+
+    # --- the directory of edges
+
+    def edges(self, now: float) -> tuple[EdgeSeen, ...]:
+        """Edges that were heard lately, by any member, and do not leave."""
+        self.now = now
+        return tuple(EdgeSeen(*(getattr(heard.edge, name) for name in EdgeState.__struct_fields__), heard.at)
+                     for heard in self.heard.values()
+                     if heard.edge.state != LEAVING and self.age(now, heard) <= UNHEARD)
+
+    def count(self, now: float) -> int:
+        """Edges that may still send requests, those that leave among them."""
+        if not 0 <= now - self.counted[0] < RECOUNT:
+            self.counted = now, sum(self.age(now, heard) <= COUNTED for heard in self.heard.values())
+        return self.counted[1]
+
+    def age(self, now: float, heard: Heard) -> float:
+        """s beyond the time at which its next word was due here."""
+        return now - heard.at - heard.wait - (0.0 if heard.own else self.exchange)
+
+    def gone(self, name: str) -> None:
+        """Its connection ended: it is not listed until it is heard again, here or elsewhere."""
+        self.parked.pop(name, None)
+        self.lost[name] = self.now
+        self.heard.pop(name, None)
+
+    def peers_edges(self, now: float, member: str, edges: EdgesKnown | Iterable[EdgeHeard]) -> None:
+        """What another member has heard itself."""
+        self.now = now
+        for told in edges.edges if isinstance(edges, EdgesKnown) else edges:
+            self.saw(Heard(told.edge, now - max(0.0, told.age_s), told.wait, False))
+
+    def own_edges(self, now: float | None = None) -> EdgesKnown:
+        """What this member has heard itself, for the others; those that leave among them."""
+        now = self.now if now is None else now
+        return EdgesKnown(tuple(EdgeHeard(heard.edge, now - heard.at, heard.wait)
+                                for heard in self.heard.values() if heard.own and now - heard.at <= LEFT))
+
+    def saw(self, heard: Heard) -> None:
+        name = heard.edge.name
+        # Guards against word that was long under way, and would bring back who has left or is gone.
+        life, _ = self.left.get(name, (None, 0.0))
+        known = self.heard.get(name)
+        if ((life == heard.edge.life and heard.edge.state != LEAVING)
+                or (not heard.own and heard.at <= self.lost.get(name, -inf))
+                or (known is not None and heard.at < known.at)):
+            return
+        if heard.edge.state == LEAVING:
+            self.left[name] = (heard.edge.life, heard.at)
+        self.heard[name] = heard
--- /dev/null
+++ b/tests/controlplane/test_delivery.py
@@ -0,0 +1,330 @@
+"""Delivery: who is answered when, with what, and which edges are known."""
+from math import inf
+from random import Random
+from types import SimpleNamespace
+
+import msgspec
+import orjson
+import pytest
+
+from shedgrade import log
+from shedgrade.controlplane.delivery import Hub
+from shedgrade.controlplane.platform import InstanceList
+from shedgrade.knowledge import (
+    LEAVING,
+    NEVER,
+    READY,
+    Ask,
+    EdgeHeard,
+    EdgesKnown,
+    EdgeState,
+    decode,
+    encode,
+    unpacked,
+)
+
+
+def edge(name="edge-1", life=1, state=READY) -> EdgeState:
+    return EdgeState(name, "10.1.0.12:8263", "north-a", "north", life, state)
+
+
+def state(version: int, *zones: str, filling: int = 10) -> dict[str, bytes]:
+    raw = b'{"configVersion":%d,"filling":"%s"}' % (version, b"x" * filling)
+    return {"configuration": raw, "version": b"%d" % version, "evacuations": orjson.dumps(zones)}
+
+
+def upstreams(now: float, *names: str, held: InstanceList | None = None, term=1) -> InstanceList:
+    if held is None:
+        held = InstanceList(lambda: 0.0)
+        held.lead(term)
+    held.apply(now, [{"instanceId": name, "service": "s", "address": "10.128.0.9:80", "zone": "north-a",
+                      "state": "available", "coldLeftMs": 0} for name in names])
+    return held
+
+
+class Client:
+    """One edge: what it asked and what it was told; messages go through their wire form."""
+
+    def __init__(self, hub: Hub, name="edge-1", life=1) -> None:
+        self.hub, self.name, self.life, self.told = hub, name, life, []
+
+    def ask(self, now, control=(0, 0), held=(0, 0), wait=1.0, version=-1, state=READY, age=NEVER) -> None:
+        ask = Ask(edge(self.name, self.life, state), control, held, wait, version, age)
+        self.hub.ask(now, decode(encode(ask)), lambda told: self.told.append(decode(encode(told))))
+
+
+def test_an_edge_with_nothing_is_told_all_at_once():
+    hub = Hub(100.0)
+    hub.members = ("10.1.0.14:7300", "10.2.0.41:7300")
+    hub.control(100.0, 1, 3, state(7, "south-a"))
+    hub.instances(100.0, upstreams(99.5, "a", "b"))
+    hub.primary_heard(99.9)
+    client = Client(hub)
+    client.ask(100.0)
+    told, = client.told
+    assert (told.control.epoch, told.control.sequence, told.control.version) == (1, 3, 7)
+    assert unpacked(told.control) == state(7)["configuration"] and told.control.evacuations == ("south-a",)
+    assert told.upstreams.whole and [one.id for one in told.upstreams.changed] == ["a", "b"]
+    assert told.members == hub.members and told.edges == 1
+    assert told.fresh_s == pytest.approx(0.1) and told.age_s == 0.5 and told.held_s == 0
+
+
+def test_nothing_new_is_told_after_the_beat():
+    hub, client = Hub(100.0), None
+    client = Client(hub)
+    assert hub.wake_at() == inf
+    client.ask(100.0, wait=1.0)
+    assert not client.told and hub.wake_at() == 101.0
+    hub.tick(100.9)
+    assert not client.told
+    hub.tick(101.0)
+    told, = client.told
+    assert told.control is told.upstreams is None
+    assert told.fresh_s == told.age_s == NEVER and told.held_s == 1.0 and hub.wake_at() == inf
+    client.ask(102.0, wait=0.0)
+    assert len(client.told) == 2
+
+
+def test_a_parked_ask_is_answered_when_control_state_moves():
+    hub = Hub(100.0)
+    hub.control(100.0, 1, 3, state(7))
+    client = Client(hub)
+    client.ask(100.0, (1, 3), version=7)
+    hub.control(100.4, 1, 4, state(7, "south-a"))
+    told, = client.told
+    assert told.control.configuration is None and told.control.evacuations == ("south-a",)
+    client.ask(100.5, (1, 4), version=7)
+    hub.control(100.6, 2, 5, state(9, "south-a"))
+    assert unpacked(client.told[1].control) == state(9)["configuration"]
+
+
+def test_a_parked_ask_is_answered_when_the_list_moves():
+    hub, held = Hub(100.0), upstreams(100.0, "a", "b")
+    hub.instances(100.0, held)
+    first, second = Client(hub), Client(hub, "edge-2")
+    first.ask(100.0, held=(1, 1), age=0.0)
+    second.ask(100.0, held=(1, 1), age=0.0)
+    hub.instances(100.5, upstreams(100.5, "b", "c", held=held))
+    for client in (first, second):
+        told, = client.told
+        assert [one.id for one in told.upstreams.changed] == ["c"] and told.upstreams.removed == ("a",)
+        assert (told.upstreams.from_term, told.upstreams.from_number) == (1, 1)
+
+
+def test_older_control_state_is_never_told():
+    hub, client = Hub(100.0), None
+    hub.control(100.0, 2, 3, state(7))
+    hub.control(100.0, 1, 9, state(6))
+    hub.control(100.0, 2, 2, state(6))
+    client = Client(hub)
+    for held in ((2, 3), (2, 4), (3, 1)):
+        client.ask(100.0, held, version=8, wait=0.0)
+        assert client.told.pop().control is None
+    client.ask(100.0, (1, 99), version=6, wait=0.0)
+    assert client.told.pop().control.sequence == 3
+
+
+def test_a_list_of_a_lower_date_is_told_only_if_it_is_much_fresher():
+    hub = Hub(100.0)
+    hub.instances(100.0, upstreams(100.0, "a"))
+    client = Client(hub)
+    client.ask(100.0, held=(9, 4), age=2.0, wait=0.5)
+    hub.tick(100.5)
+    assert client.told.pop().upstreams is None
+    client.ask(100.0, held=(9, 4), age=4.0)
+    assert client.told.pop().upstreams.whole
+
+
+def test_a_newer_ask_of_an_edge_replaces_the_parked_one():
+    hub, first, second = Hub(100.0), None, None
+    first, second = Client(hub), Client(hub, life=2)
+    first.ask(100.0)
+    second.ask(100.5)
+    hub.control(100.6, 1, 1, state(1))
+    assert not first.told and len(second.told) == 1
+    hub.tick(103.0)
+    assert not first.told and len(second.told) == 1
+
+
+def test_an_ask_from_within_an_answer_is_kept():
+    hub, told = Hub(100.0), []
+
+    def again(answer):
+        told.append(answer)
+        hub.ask(100.5, Ask(edge(), (1, 1), (0, 0), 1.0, 1), told.append)
+
+    hub.ask(100.0, Ask(edge(), (0, 0), (0, 0), 1.0), again)
+    hub.control(100.5, 1, 1, state(1))
+    assert len(told) == 1
+    hub.tick(101.5)
+    assert len(told) == 2
+
+
+def test_big_configurations_travel_compressed_and_are_packed_once():
+    hub = Hub(100.0)
+    hub.control(100.0, 1, 1, state(1, filling=100_000))
+    client = Client(hub)
+    client.ask(100.0)
+    packed = hub.sent
+    client.ask(100.0)
+    assert hub.sent is packed
+    control = client.told[0].control
+    assert control.compressed and len(control.configuration) < 2_000
+    assert unpacked(control) == state(1, filling=100_000)["configuration"]
+    for broken in (control.configuration[:-9], b"x" + control.configuration, b""):
+        with pytest.raises(ValueError):
+            unpacked(msgspec.structs.replace(control, configuration=broken))
+
+
+def test_bytes_that_unfold_to_too_much_are_refused():
+    hub = Hub(100.0)
+    hub.control(100.0, 1, 1, state(1, filling=17 * 1024 * 1024))
+    client = Client(hub)
+    client.ask(100.0)
+    with pytest.raises(ValueError):
+        unpacked(client.told[0].control)
+
+
+@pytest.mark.parametrize("broken", [{"version": b"x"}, {"evacuations": b"{"}, {"evacuations": b"[1]"},
+                                    {"evacuations": b"3"}])
+def test_a_state_that_can_not_be_read_leaves_the_last_one(broken):
+    lines = []
+    log.hand(SimpleNamespace(**{name: lambda text, *values: lines.append(text) for name in log.METHODS}))
+    try:
+        hub = Hub(100.0)
+        hub.control(100.0, 1, 1, state(1))
+        hub.control(100.0, 1, 2, state(2) | broken)
+    finally:
+        log.hand(None)
+    assert hub.held == (1, 1) and hub.version == 1 and len(lines) == 1
+
+
+def test_the_number_of_parked_asks_is_bounded(monkeypatch):
+    monkeypatch.setattr("shedgrade.controlplane.delivery.MOST_PARKED", 3)
+    hub = Hub(100.0)
+    clients = [Client(hub, f"edge-{number}") for number in range(4)]
+    for client in clients:
+        client.ask(100.0)
+    assert [len(client.told) for client in clients] == [0, 0, 0, 1]
+
+
+# --- the directory of edges
+
+def listed(hub: Hub, now: float) -> list[str]:
+    return sorted(seen.name for seen in hub.edges(now))
+
+
+def test_an_edge_is_listed_until_its_next_word_is_a_second_late():
+    hub = Hub(100.0)
+    Client(hub).ask(100.0, wait=1.0, state="starting")
+    seen, = hub.edges(100.0)
+    assert seen.last_seen == 100.0 and not seen.ready and seen.zone == "north-a" and seen.life == 1
+    Client(hub).ask(100.2, wait=1.0)
+    assert hub.edges(102.1)[0].ready and listed(hub, 102.3) == []
+    assert hub.count(102.3) == 1 and hub.count(104.3) == 0
+
+
+def test_an_edge_that_leaves_is_dropped_at_once_and_still_answered():
+    hub = Hub(100.0)
+    client = Client(hub)
+    client.ask(100.0)
+    client.ask(100.2, state=LEAVING)
+    assert listed(hub, 100.2) == [] and hub.count(100.2) == 1
+    hub.peers_edges(100.3, "m2", [EdgeHeard(edge(), 0.0, 1.0)])
+    assert listed(hub, 100.3) == []
+    hub.control(100.5, 1, 1, state(1))
+    assert len(client.told) == 1
+    Client(hub, life=2).ask(101.0)
+    assert listed(hub, 101.0) == ["edge-1"]
+
+
+def test_an_edge_whose_connection_ended_is_listed_when_it_is_heard_again():
+    hub = Hub(100.0)
+    client = Client(hub)
+    client.ask(100.0)
+    hub.gone("edge-1")
+    assert listed(hub, 100.0) == [] and hub.wake_at() == inf
+    hub.peers_edges(101.0, "m2", [EdgeHeard(edge(), 1.5, 1.0)])
+    assert listed(hub, 101.0) == []
+    hub.peers_edges(101.0, "m2", [EdgeHeard(edge(), 0.5, 1.0)])
+    assert listed(hub, 101.0) == ["edge-1"]
+    hub.gone("edge-1")
+    client.ask(101.1)
+    assert listed(hub, 101.1) == ["edge-1"]
+
+
+def test_members_tell_each_other_what_they_heard_themselves():
+    first, second, third = Hub(100.0), Hub(500.0), Hub(900.0)
+    Client(first, "edge-1").ask(100.0)
+    Client(second, "edge-2").ask(500.0)
+    second.peers_edges(500.4, "m1", decode(encode(first.own_edges(100.4))))
+    assert listed(second, 500.4) == ["edge-1", "edge-2"] and second.count(500.4) == 2
+    assert {seen.name: seen.last_seen for seen in second.edges(500.4)}["edge-1"] == pytest.approx(500.0)
+    assert [heard.edge.name for heard in second.own_edges(500.4).edges] == ["edge-2"]
+    third.peers_edges(900.0, "m2", second.own_edges(500.4))
+    assert listed(third, 900.0) == ["edge-2"]
+    Client(first, "edge-1").ask(100.5, state=LEAVING)
+    second.peers_edges(500.6, "m1", first.own_edges(100.5))
+    assert listed(second, 500.6) == ["edge-2"]
+
+
+def test_an_edge_that_moved_to_another_member_is_listed_on():
+    first, second = Hub(100.0), Hub(100.0)
+    Client(first).ask(100.0)
+    for step in range(1, 10):
+        now = 100.0 + step
+        Client(second).ask(now)
+        first.tick(now)
+        first.peers_edges(now, "m2", second.own_edges(now))
+        assert listed(first, now) == ["edge-1"]
+    assert first.own_edges().edges == ()
+
+
+def test_what_is_long_gone_is_forgotten():
+    hub = Hub(100.0)
+    Client(hub).ask(100.0)
+    Client(hub, "edge-2").ask(100.0, state=LEAVING)
+    Client(hub, "edge-3").ask(100.0)
+    hub.gone("edge-3")
+    hub.tick(140.0)
+    assert not hub.heard and not hub.left and not hub.lost and not hub.parked
+    assert hub.own_edges() == EdgesKnown(())
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_any_order_of_events_answers_each_ask_once_and_nothing_goes_back(seed):
+    chance = Random(seed)
+    hub, held, now = Hub(100.0), upstreams(100.0), 100.0
+    answers: dict[int, int] = {}
+    holds = {name: [(0, 0), (0, 0), -1] for name in ("e1", "e2", "e3")}
+    latest: dict[str, int] = {}
+    sequence = 0
+    for number in range(120):
+        now += chance.random() * 0.3
+        what = chance.randrange(4)
+        if what == 0:
+            sequence += 1
+            hub.control(now, 1 + sequence // 5, sequence, state(sequence // 2 + 1))
+        elif what == 1:
+            hub.instances(now, upstreams(now, *chance.sample("abcde", 3), held=held))
+        else:
+            name = chance.choice(list(holds))
+
+            def reply(told, name=name, number=number):
+                answers[number] = answers.get(number, 0) + 1
+                mine = holds[name]
+                if told.control is not None:
+                    assert (told.control.epoch, told.control.sequence) > mine[0]
+                    assert (told.control.configuration is None) == (told.control.version == mine[2])
+                    mine[0], mine[2] = (told.control.epoch, told.control.sequence), told.control.version
+                if told.upstreams is not None:
+                    assert (told.upstreams.term, told.upstreams.number) > mine[1]
+                    mine[1] = (told.upstreams.term, told.upstreams.number)
+
+            latest[name] = number
+            control, list_held, version = holds[name]
+            hub.ask(now, Ask(edge(name), control, list_held, 0.5, version, 0.0), reply)
+        hub.tick(now)
+    hub.tick(now + 1.0)
+    assert set(answers.values()) == {1}
+    assert all(number in answers for number in latest.values())
