--- /dev/null
+++ b/shedgrade/replication/__init__.py
@@ -0,0 +1,20 @@
+"""Control state that nothing takes: epochs, primary, backups, witnesses. Sans I/O."""
+from . import effects, messages
+from .effects import (
+    Answer,
+    Decision,
+    Elsewhere,
+    Finished,
+    Left,
+    Persist,
+    Reading,
+    Send,
+    State,
+    Unavailable,
+    Unclear,
+)
+from .member import Member
+from .timing import Timing
+
+__all__ = ["Answer", "Decision", "Elsewhere", "Finished", "Left", "Member", "Persist", "Reading", "Send",
+           "State", "Timing", "Unavailable", "Unclear", "effects", "messages"]
--- /dev/null
+++ b/shedgrade/replication/ballot.py
@@ -0,0 +1,261 @@
+"""A candidate's way to a new epoch: pre-vote, own promise, prepare, fetch, install (Vertical Paxos'
+quorums)."""
+from __future__ import annotations
+
+import msgspec
+
+from .held import merge, size
+from .messages import (
+    EpochRecord,
+    Fetch,
+    Install,
+    Installed,
+    Peer,
+    Prepare,
+    PreVote,
+    PreVoteReply,
+    Promise,
+    Refusal,
+    Transfer,
+    count,
+    is_quorum,
+    majority,
+    matches,
+    newest,
+)
+
+
+class Ballot:
+    """One attempt at a time. `phase`: "" (none), "prevote", "promise", "prepare", "fetch", "install"."""
+
+    def __init__(self, member):
+        self.member = member
+        self.phase = ""
+        self.number = 0
+        self.promises: dict[int, Promise] = {}
+        self.grants: dict[int, PreVoteReply] = {}
+        self.installed: set[int] = set()
+        self.record: EpochRecord | None = None
+        self.change = None
+        self.avoid: frozenset[int] = frozenset()
+        self.resend_at = self.since = self.prepared = self.ends = 0.0
+        self.best: Promise | None = None
+        self.sent: dict[int, float] = {}
+
+    # --- begin and end
+
+    def pre_vote(self, now: float) -> None:
+        """Ask whether others miss the primary too: a member cut off one way must not raise the number."""
+        self.begin(now, "prevote")
+        member, held = self.member, self.member.held
+        self.grants = {held.incarnation: PreVoteReply(
+            held.incarnation, held.founding, 0, True, held.promise[0], None, None)}
+        self.number = member.highest + 1
+        self.ask_pre_vote(now)
+
+    def start(self, now: float, change=None, avoid: frozenset[int] = frozenset()) -> None:
+        """Raise the number. `change`: a pure function from members to new members; `avoid`: who should hold
+        nothing."""
+        self.begin(now, "promise")
+        member, held = self.member, self.member.held
+        self.change, self.avoid = change, avoid
+        self.number = number = max(member.highest, held.promise[0], held.record.number) + 1
+        member.highest = number
+        # the own promise is synced before others are asked: a number is never used twice after a loss of
+        # power
+        held.promise_to(now, number, held.incarnation, lambda at: self.promised(at, number))
+
+    def begin(self, now: float, phase: str) -> None:
+        self.phase, self.since, self.ends = phase, now, now + self.member.timing.ballot
+        self.promises, self.grants, self.installed, self.sent = {}, {}, set(), {}
+        self.record = self.best = self.change = None
+        self.avoid = frozenset()
+        self.resend_at = now
+
+    def stop(self) -> None:
+        self.phase = ""
+
+    # --- pre-vote
+
+    def ask_pre_vote(self, now: float) -> None:
+        held = self.member.held
+        self.resend_at = now + self.member.timing.resend
+        question = PreVote(held.incarnation, self.number, held.record.number, held.accepted, held.mark[1])
+        self.member.broadcast(question, self.grants)
+
+    def pre_vote_reply(self, now: float, sender: str, reply: PreVoteReply) -> None:
+        member = self.member
+        member.highest = max(member.highest, reply.promised)
+        if reply.record is not None:
+            member.held.learn(now, reply.record)
+        if self.phase != "prevote" or reply.number != self.number:
+            return
+        if not reply.granted:
+            if reply.primary and reply.primary != member.address:
+                member.told_primary(now, reply.primary)
+            return
+        self.grants[reply.incarnation] = reply
+        voters = [Voter(each.incarnation, member.address_of(each.incarnation, sender), each.founding)
+                  for each in self.grants.values()]
+        if is_quorum(member.held.record, voters):
+            self.start(now)
+
+    # --- prepare
+
+    def promised(self, now: float, number: int) -> None:
+        """The own promise is synced."""
+        held = self.member.held
+        if self.phase != "promise" or number != self.number or held.promise != (number, held.incarnation):
+            return
+        self.phase, self.prepared = "prepare", now
+        self.promises[held.incarnation] = self.member.own_promise(number)
+        self.ask_promises(now)
+        self.choose(now)
+
+    def ask_promises(self, now: float) -> None:
+        held = self.member.held
+        self.resend_at = now + self.member.timing.resend
+        self.member.broadcast(Prepare(held.incarnation, self.number, held.record), self.promises)
+
+    def promise(self, now: float, promise: Promise) -> None:
+        if self.phase != "prepare" or promise.number != self.number:
+            return
+        self.promises[promise.incarnation] = promise
+        self.choose(now)
+
+    def refused(self, now: float, refusal: Refusal) -> None:
+        """Another has a higher number: leave it the way for a while."""
+        if self.phase in ("prepare", "fetch", "install") and refusal.promised > self.number:
+            self.member.step_down(now)
+
+    def choose(self, now: float) -> None:
+        """With a quorum: the newest state, the members, the holders."""
+        member, held = self.member, self.member.held
+        promises = list(self.promises.values())
+        base = held.record
+        for each in promises:
+            base = newest(base, each.record)
+        if not is_quorum(base, promises):
+            return
+        members, before = self.groups(base, promises)
+        able = [each for each in promises
+                if any(peer.incarnation == each.incarnation for peer in members)
+                and any(matches(peer, each.incarnation, each.address, each.founding) for peer in before)]
+        if not any(each.incarnation == held.incarnation for each in able):
+            return self.member.step_down(now)   # this process is none of the members any more
+        enough = max(majority(members), majority(before))
+        good = [each for each in able if each.incarnation not in self.avoid]
+        wanted = max(enough, member.tolerated + 1)
+        waited = now - self.prepared >= member.timing.resend
+        if len(good) < wanted and not waited and len(promises) < len(base.members):
+            return   # a better holder may answer yet
+        if len(able) < enough:
+            return
+        best = max(promises, key=lambda p: (p.accepted, p.mark, p.incarnation == held.incarnation))
+        rank = {each.incarnation: (each.incarnation != held.incarnation, each.incarnation in self.avoid,
+                                   each.mark != best.mark) for each in able}
+        able.sort(key=lambda each: rank[each.incarnation])
+        holders = tuple(each.incarnation for each in able[:wanted])
+        self.record = EpochRecord(self.number, held.incarnation, holders, members, before, False)
+        self.best = best
+        if (best.accepted, best.mark) == (held.accepted, held.mark):
+            self.install(now, held.mark, held.state)
+        else:
+            self.phase, self.resend_at = "fetch", now
+            self.ends = now + member.timing.ballot + 8.0
+            self.fetch(now)
+
+    def groups(self, base: EpochRecord, promises: list[Promise]) -> tuple[tuple[Peer, ...], tuple[Peer, ...]]:
+        """Members and those before of the new epoch. Members change only from an epoch that is known to be
+        active."""
+        if not base.active:
+            return base.members, base.before
+        if base.number == 0:   # founding: fill in who was heard
+            known = {each.address: each.incarnation for each in promises if each.founding}
+            known = {**self.member.founders, **known}
+            names = self.member.names
+            members = [(known.get(peer.address, 0), peer.address) for peer in base.members]
+            return tuple(Peer(who, names.get(who, ""), address) for who, address in members), base.members
+        members = base.members
+        if self.change is not None and base.number == self.member.held.record.number:
+            members = self.change(members)
+        return members, base.members
+
+    # --- fetch and install
+
+    def fetch(self, now: float) -> None:
+        self.resend_at = now + 4 * self.member.timing.resend
+        self.member.send(self.member.address_of(self.best.incarnation, self.best.address), Fetch(self.number))
+
+    def transfer(self, now: float, transfer: Transfer) -> None:
+        if self.phase == "fetch" and transfer.number == self.number and transfer.mark == self.best.mark:
+            self.install(now, transfer.mark, transfer.state)
+
+    def install(self, now: float, mark, state) -> None:
+        member, held, number = self.member, self.member.held, self.number
+        self.phase, self.resend_at = "install", now + member.timing.resend
+        self.ends = now + member.timing.ballot + size(state) / member.timing.bytes_per_second
+        if mark != held.mark:
+            member.lead.abandon(now)   # the orders decided here are not in the chain that goes on
+        held.install(now, self.record, mark, state, {} if mark == held.mark else None,
+                     lambda at: self.on_installed(at, Installed(held.incarnation, number)))
+        for incarnation in self.record.holders:
+            if incarnation != held.incarnation:
+                self.send_install(now, incarnation)
+
+    def send_install(self, now: float, incarnation: int) -> None:
+        held, promise = self.member.held, self.promises[incarnation]
+        base, changes = promise.mark, held.between(promise.mark, held.mark)
+        if changes is None:
+            base, changes = None, held.state
+        wait = max(self.member.timing.resend, size(changes) / self.member.timing.bytes_per_second)
+        self.sent[incarnation] = now + wait * (2 if incarnation in self.sent else 1)
+        self.member.send(self.member.address_of(incarnation, promise.address),
+                         Install(self.record, held.mark, base, changes))
+
+    def on_installed(self, now: float, word: Installed) -> None:
+        if self.phase != "install" or word.number != self.number:
+            return
+        self.installed.add(word.incarnation)
+        if self.installed.issuperset(self.record.holders):
+            record = self.record
+            self.stop()
+            self.member.lead.begin(now, msgspec.structs.replace(record, before=record.members, active=True))
+
+    # --- time
+
+    def tick(self, now: float) -> None:
+        if not self.phase:
+            return
+        if now >= self.ends:
+            return self.member.step_down(now)
+        if self.phase == "install":
+            for incarnation in self.record.holders:
+                if incarnation not in self.installed and now >= self.sent.get(incarnation, now + 1):
+                    self.send_install(now, incarnation)
+        elif now >= self.resend_at:
+            if self.phase == "prevote":
+                self.ask_pre_vote(now)
+            elif self.phase == "prepare":
+                self.choose(now)
+                if self.phase == "prepare":
+                    self.ask_promises(now)
+            elif self.phase == "fetch":
+                self.fetch(now)
+
+    def wake_at(self) -> float:
+        if not self.phase:
+            return float("inf")
+        if self.phase == "install":
+            return min([self.ends] + [at for who, at in self.sent.items() if who not in self.installed])
+        return self.ends if self.phase == "promise" else min(self.ends, self.resend_at)
+
+
+class Voter:
+    __slots__ = ("incarnation", "address", "founding")
+
+    def __init__(self, incarnation: int, address: str, founding: bool):
+        self.incarnation, self.address, self.founding = incarnation, address, founding
+
+
+__all__ = ["Ballot", "Voter", "count", "merge"]
--- /dev/null
+++ b/shedgrade/replication/held.py
@@ -0,0 +1,178 @@
+"""What one member holds: its promise, the newest epoch it knows, the state and its mark, what is finished."""
+from __future__ import annotations
+
+from collections import deque
+
+import msgspec
+
+from .effects import Finished
+from .messages import Changes, EpochRecord, Mark, Peer, newest
+from .saving import Saving
+
+INCARNATION, PROMISE, EPOCH, PLACE, SEEDS = (
+    "replication/incarnation", "replication/promise", "replication/epoch", "replication/place",
+    "replication/founding")
+PREFIX = "state/"
+LOG_ENTRIES, LOG_BYTES = 64, 2_000_000
+
+_encode = msgspec.msgpack.encode
+
+
+def _decode(found, key, kind, default):
+    data = found.get(key)
+    return default if data is None else msgspec.msgpack.decode(data, type=kind)
+
+
+def merge(state: dict[str, bytes], changes: Changes) -> dict[str, bytes]:
+    """A new state; the given one is left as it is."""
+    merged = dict(state)
+    for key, value in changes.items():
+        if value is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = value
+    return merged
+
+
+def size(changes: Changes) -> int:
+    return sum(len(value) for value in changes.values() if value)
+
+
+class Held:
+    """`promise`: (number, incarnation of the candidate). `accepted`: the epoch as whose holder the state
+    was taken;
+    0 for a witness. `unfinished`: states after the finished one, by mark. `durable` and `installed`: the
+    mark and the epoch that are synced."""
+
+    def __init__(self, found, saving: Saving, effects: list, seeds: tuple[str, ...], founding: bool, random):
+        found = found or {}
+        self.saving, self.effects = saving, effects
+        self.incarnation = _decode(found, INCARNATION, int, 0)
+        self.new = not self.incarnation
+        founders = _decode(found, SEEDS, tuple[str, ...] | None, None)
+        if self.new:
+            self.incarnation = random.getrandbits(62) | 1
+            founders = seeds if founding else None
+        self.founding = founders is not None
+        nobody = EpochRecord(0, 0, (), tuple(Peer(0, "", seed) for seed in founders or ()), (), True)
+        self.founders = founders
+        self.promise: tuple[int, int] = _decode(found, PROMISE, tuple[int, int], (0, 0))
+        self.record: EpochRecord = _decode(found, EPOCH, EpochRecord, nobody)
+        self.accepted, self.mark = _decode(found, PLACE, tuple[int, Mark], (0, (0, 0)))
+        self.state = {key[len(PREFIX):]: value for key, value in found.items() if key.startswith(PREFIX)}
+        self.durable, self.installed = self.mark, self.accepted
+        self.unfinished: deque[tuple[Mark, dict[str, bytes]]] = deque([(self.mark, self.state)])
+        self.finished: tuple[int, int, dict[str, bytes]] = (0, 0, {})
+        self.log: deque[tuple[Mark, Mark, Changes]] = deque()
+        self.logged = 0
+
+    def born(self, now: float, done) -> None:
+        """Before the first word: the incarnation is synced, or it could be another after a loss of power."""
+        changes: Changes = {INCARNATION: _encode(self.incarnation)}
+        if self.founders is not None:
+            changes[SEEDS] = _encode(self.founders)
+        self.saving.save(now, changes, done)
+
+    def names(self, incarnation: int) -> bool:
+        return any(peer.incarnation == incarnation for peer in self.record.members)
+
+    def is_holder(self) -> bool:
+        return self.incarnation in self.record.holders
+
+    def is_member(self) -> bool:
+        return self.names(self.incarnation)
+
+    def promise_to(self, now: float, number: int, candidate: int, done=None) -> None:
+        self.promise = number, candidate
+        self.saving.save(now, {PROMISE: _encode(self.promise)}, done)
+
+    def learn(self, now: float, record: EpochRecord) -> None:
+        """Keep a newer epoch that is known to be active (or the word that this one is)."""
+        if newest(self.record, record) is self.record:
+            return
+        self.record = record
+        changes: Changes = {EPOCH: _encode(record)}
+        if record.number > self.promise[0]:
+            self.promise = record.number, record.primary
+            changes[PROMISE] = _encode(self.promise)
+        self.saving.save(now, changes)
+
+    def install(self, now: float, record: EpochRecord, mark: Mark, state: dict[str, bytes],
+                changes: Changes | None, done) -> None:
+        """Become a holder of the epoch with this state. `changes` lead there from the present state (None:
+        whole)."""
+        saved: Changes = {EPOCH: _encode(record), PLACE: _encode((record.number, mark))}
+        if self.promise != (record.number, record.primary):
+            self.promise = record.number, record.primary
+            saved[PROMISE] = _encode(self.promise)
+        if changes is None:
+            for key in self.state:
+                if key not in state:
+                    saved[PREFIX + key] = None
+            changes = {key: value for key, value in state.items() if self.state.get(key) != value}
+            if mark != self.mark:
+                self.log.clear()
+                self.logged = 0
+                self.unfinished.clear()   # also a change that no ballot met: it is in force nowhere
+        elif mark != self.mark:
+            self.note(self.mark, mark, changes)
+        for key, value in changes.items():
+            saved[PREFIX + key] = value
+        if mark != self.mark:
+            self.unfinished.append((mark, state))
+        self.record, self.accepted, self.state, self.mark = record, record.number, state, mark
+
+        def durable(at: float) -> None:
+            self.durable, self.installed = mark, record.number
+            done(at)
+        self.saving.save(now, saved, durable)
+
+    def write(self, now: float, sequence: int, changes: Changes, done) -> None:
+        """The next change of the epoch accepted."""
+        mark = (self.accepted, sequence)
+        self.state = merge(self.state, changes)
+        self.note(self.mark, mark, changes)
+        self.mark = mark
+        self.unfinished.append((mark, self.state))
+        saved = {PREFIX + key: value for key, value in changes.items()}
+        saved[PLACE] = _encode((self.accepted, mark))
+
+        def durable(at: float) -> None:
+            self.durable = mark
+            done(at)
+        self.saving.save(now, saved, durable)
+
+    def note(self, base: Mark, mark: Mark, changes: Changes) -> None:
+        self.log.append((base, mark, changes))
+        self.logged += size(changes)
+        while len(self.log) > 1 and (len(self.log) > LOG_ENTRIES or self.logged > LOG_BYTES):
+            self.logged -= size(self.log.popleft()[2])
+
+    def between(self, base: Mark, mark: Mark) -> Changes | None:
+        """The changes that lead from one mark to another, None when the log doesn't reach."""
+        if base == mark:
+            return {}
+        merged: Changes | None = None
+        for start, end, changes in self.log:
+            if start == base:
+                merged = {}
+            if merged is not None:
+                merged.update(changes)
+                if end == mark:
+                    return merged
+        return None
+
+    def finish(self, mark: Mark) -> None:
+        """What is accepted up to the mark is finished."""
+        state = None
+        while self.unfinished and self.unfinished[0][0] <= mark:
+            at, state = self.unfinished.popleft()
+            if at == mark:
+                self.finish_with(mark, state)
+                break
+
+    def finish_with(self, mark: Mark, state: dict[str, bytes]) -> None:
+        """Never goes back: an old primary's word may come late."""
+        if mark > self.finished[:2]:
+            self.finished = *mark, state
+            self.effects.append(Finished(*mark, state))
--- /dev/null
+++ b/shedgrade/replication/member.py
@@ -0,0 +1,355 @@
+"""One member of the control state: the parts put together. Sans I/O: time, chance and the disk's word are
+handed in."""
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+from . import messages as m
+from .ballot import Ballot
+from .effects import Answer, Decision, Elsewhere, Left, Send, State, Unavailable, Unclear
+from .held import Held
+from .joining import Joining
+from .primary import Primary
+from .saving import Saving
+from .timing import Timing
+from .voting import Voting
+
+NEVER = float("-inf")
+
+
+class Waiting:
+    """Orders and reads that wait for a primary to be known."""
+
+    def __init__(self, member):
+        self.member = member
+        self.entries: list[tuple[float, int, object, bool, bool]] = []
+
+    def add(self, now: float, ticket: int, request, *, shipped: bool = False, read: bool = False) -> None:
+        self.entries.append((now + self.member.timing.hold, ticket, request, shipped, read))
+
+    def settle(self, now: float) -> None:
+        member = self.member
+        if not self.entries:
+            return
+        entries, self.entries = self.entries, []
+        for until, ticket, request, shipped, read in entries:
+            if member.lead.active and shipped:   # deciding it again could refuse what was finished meanwhile
+                outcome = Unclear()
+            elif member.lead.active:
+                member.lead.read(now, ticket) if read else member.lead.order(now, ticket, request)
+                continue
+            elif member.primary and member.hears_primary(now):
+                outcome = Elsewhere(member.primary)
+            elif now >= until:
+                outcome = Unclear() if shipped else Unavailable()
+            else:
+                self.entries.append((until, ticket, request, shipped, read))
+                continue
+            member.effects.append(Answer(ticket, outcome))
+
+
+class Member:
+    """A core process's part in the control state.
+
+    `address` and `seeds` are link addresses; `found` holds the durable values of an earlier life (none:
+    empty disk);
+    `decide(state, request)` is pure and is called at the primary only. `effects` is drained by the caller
+    after each
+    call. Source: Harp (Liskov et al., 1991) with the quorums of Vertical Paxos (Lamport, Malkhi, Zhou,
+    2009)."""
+
+    PIPELINE, QUEUE = 16, 256
+
+    def __init__(self, name: str, address: str, *, founding: bool, seeds: tuple[str, ...], tolerated: int,
+                 found: Mapping[str, bytes] | None, random: Random, now: float,
+                 decide: Callable[[State, object], Decision], timing: Timing = Timing()):  # noqa: B008
+        self.name, self.address, self.seeds, self.tolerated = name, address, tuple(seeds), tolerated
+        self.random, self.decide, self.timing = random, decide, timing
+        self.effects: list = []
+        self.saving = Saving(self.effects, timing.disk_patience, timing.disk_retry)
+        founding = founding and address in self.seeds
+        self.held = Held(found, self.saving, self.effects, self.seeds, founding, random)
+        self.lead, self.ballot, self.voting = Primary(self), Ballot(self), Voting(self)
+        self.joining, self.waiting = Joining(self), Waiting(self)
+        self.highest = max(self.held.promise[0], self.held.record.number)
+        self.promised = self.held.promise[0]
+        self.addresses: dict[int, str] = {}
+        self.names: dict[int, str] = {self.held.incarnation: name}
+        self.founders: dict[str, int] = {address: self.held.incarnation} if self.held.founding else {}
+        self.primary: str | None = None
+        self.primary_hint: str | None = None
+        self.heard_at, self.stand_at = now, now
+        self.known_at = NEVER
+        self.born_at = now
+        self.born = False
+        self.leaving, self.left_by, self.gone = False, 0.0, False
+        self.reform_at = now
+        self.now = now
+        if self.held.new:
+            self.held.born(now, self.on_born)
+        else:
+            self.on_born(now)
+
+    def on_born(self, now: float) -> None:
+        """The incarnation is synced: this process may speak."""
+        self.born, self.born_at, self.heard_at = True, now, now
+        self.joining.hello(now)
+        self.plan_stand(now)
+        if self.held.record.primary == self.held.incarnation and self.held.record.number:
+            self.stand_at = now + self.timing.heartbeat / 2   # nobody else acts in the epoch that it led
+
+    # --- what the caller does
+
+    def receive(self, now: float, sender: str, message) -> None:
+        """A message from the link address `sender`."""
+        self.now = now
+        if self.born and not self.gone:
+            self.HANDLERS[type(message)](self, now, sender, message)
+            self.waiting.settle(now)
+
+    def persisted(self, now: float, token: int, ok: bool) -> None:
+        """The disk's word on the open Persist."""
+        self.now = now
+        if not self.gone:
+            self.saving.persisted(now, token, ok)
+
+    def order(self, now: float, ticket: int, request: object) -> None:
+        """Answered by Answer(ticket, ...): decide's outcome, Unavailable, Unclear or Elsewhere."""
+        self.now = now
+        if len(self.lead.queue) + len(self.waiting.entries) >= self.QUEUE:
+            self.effects.append(Answer(ticket, Unavailable()))
+        elif self.lead.active or self.ballot.phase in ("promise", "prepare", "fetch", "install"):
+            self.lead.order(now, ticket, request)
+        else:
+            self.waiting.add(now, ticket, request)
+            self.waiting.settle(now)
+
+    def read(self, now: float, ticket: int) -> None:
+        """Answered by Answer(ticket, Reading), Unavailable or Elsewhere."""
+        self.now = now
+        if self.lead.active:
+            self.lead.read(now, ticket)
+        else:
+            self.waiting.add(now, ticket, None, read=True)
+            self.waiting.settle(now)
+
+    def leave(self, now: float) -> None:
+        """Hand over, let a holder's place be given away; then Left."""
+        self.now = now
+        if not self.leaving:
+            self.leaving, self.left_by = True, now + self.timing.handover
+        self.tick(now)
+
+    def tick(self, now: float) -> None:
+        """Called when wake_at() is due, and at any other time."""
+        self.now = now
+        if self.gone:
+            return
+        self.saving.pump(now)
+        if not self.born:
+            return
+        self.lead.tick(now)
+        self.ballot.tick(now)
+        if not self.lead.active and not self.ballot.phase:
+            if now >= self.stand_at and self.may_stand(now):
+                self.pre_stand(now)
+            if not self.hears_primary(now) and now >= self.joining.hello_at:
+                self.joining.hello(now)
+        self.lead.expire(now)
+        self.waiting.settle(now)
+        if self.leaving:
+            self.leave_on(now)
+
+    def wake_at(self) -> float:
+        """When tick is due next."""
+        now, wake = self.now, self.saving.wake_at(self.now)
+        if self.born:
+            wake = min(wake, self.lead.wake_at(now), self.ballot.wake_at())
+            if not self.lead.active:
+                if not self.ballot.phase:
+                    wake = min(wake, max(self.stand_at, now + 0.05) if self.is_voter() else now + 1.0)
+                    silent = self.known_at + self.timing.suspect
+                    wake = min(wake, max(self.joining.hello_at, silent, now + 0.05))
+            if self.waiting.entries:
+                wake = min(wake, self.waiting.entries[0][0])
+            if self.lead.queue:
+                wake = min(wake, self.lead.queue[0][0] + 2 * self.timing.hold)
+            if self.leaving:
+                wake = min(wake, now + 0.1)
+        return wake
+
+    # --- to be looked at
+
+    @property
+    def role(self) -> str:
+        """founding, blank, witness, backup, primary or candidate."""
+        held = self.held
+        if self.lead.active:
+            return "primary"
+        if self.ballot.phase and self.ballot.phase != "prevote":
+            return "candidate"
+        if held.record.number == 0:
+            return "founding" if held.founding else "blank"
+        if not held.is_member():
+            return "blank"
+        return "backup" if held.incarnation in held.record.holders else "witness"
+
+    @property
+    def epoch(self) -> int:
+        return self.held.record.number
+
+    @property
+    def members(self) -> tuple:
+        return self.held.record.members
+
+    @property
+    def finished(self) -> tuple[int, int, State]:
+        return self.held.finished
+
+    # --- what the parts share
+
+    def send(self, address: str, message) -> None:
+        self.effects.append(Send(address, message))
+
+    def seen(self, incarnation: int, address: str, name: str = "") -> None:
+        self.addresses[incarnation] = address
+        if name:
+            self.names[incarnation] = name
+
+    def address_of(self, incarnation: int, otherwise: str) -> str:
+        return self.addresses.get(incarnation, otherwise)
+
+    def broadcast(self, message, but) -> None:
+        """To the members, and to those before while the epoch isn't known to be active."""
+        record, done = self.held.record, {self.address}
+        for peer in (*record.members, *(() if record.active else record.before)):
+            address = self.address_of(peer.incarnation, peer.address)
+            if peer.incarnation not in but and address not in done:
+                done.add(address)
+                self.send(address, message)
+
+    def own_promise(self, number: int) -> m.Promise:
+        held = self.held
+        return m.Promise(held.incarnation, self.address, held.founding, number, held.record, held.accepted,
+                         held.mark)
+
+    def is_voter(self) -> bool:
+        """Named by the newest epoch known, or by the one before while that is not known to be active."""
+        held = self.held
+        if held.founding and not held.record.number:
+            return True
+        peers = held.record.members if held.record.active else held.record.members + held.record.before
+        return any(m.matches(peer, held.incarnation, self.address, held.founding) for peer in peers)
+
+    def may_stand(self, now: float) -> bool:
+        held = self.held
+        if self.leaving or not self.is_voter() or not self.saving.healthy(now):
+            return False
+        return held.record.number > 0 or self.joining.founded_enough(now)
+
+    def hears_primary(self, now: float) -> bool:
+        return self.primary is not None and now - self.known_at < self.timing.suspect
+
+    def told_primary(self, now: float, address: str) -> None:
+        """Somebody else hears the primary there. It is said hello, and doesn't count as heard."""
+        if address != self.primary_hint:
+            self.primary_hint = address
+            self.joining.hello_at = min(self.joining.hello_at, now)
+
+    def follows(self, now: float, sender: str, epoch: int) -> None:
+        """A word of the primary of the newest epoch."""
+        if self.lead.active or self.ballot.phase:
+            self.step_down(now)
+        self.primary, self.primary_hint = sender, sender
+        self.heard_at = self.known_at = now
+        self.plan_stand(now)
+
+    def plan_stand(self, now: float) -> None:
+        timing, held = self.timing, self.held
+        extra = 0.0 if held.record.number and held.is_holder() else timing.witness_extra
+        if not held.record.number and held.founders and self.address in held.founders:
+            extra = 0.4 * sorted(held.founders).index(self.address)
+            self.stand_at = now + extra
+            return
+        self.stand_at = self.heard_at + timing.suspect + extra + self.random.random() * timing.stagger
+
+    def pre_stand(self, now: float) -> None:
+        self.stand_at = now + self.timing.ballot / 2 + self.random.random() * self.timing.suspect
+        self.ballot.pre_vote(now)
+
+    def stand(self, now: float) -> None:
+        if not self.lead.active:
+            self.primary = None
+            self.ballot.start(now)
+
+    def reform(self, now: float, change, avoid: frozenset[int]) -> None:
+        """The primary makes a new epoch with other holders or members."""
+        self.reform_at = now + self.timing.ballot
+        self.lead.pause()
+        self.ballot.start(now, change, avoid)
+
+    def became_primary(self, now: float) -> None:
+        self.primary, self.known_at, self.heard_at = self.address, now, now
+        self.reform_at = now + self.timing.resend
+        self.waiting.settle(now)
+
+    def step_down(self, now: float) -> None:
+        """No primary and no candidate any more, until the next silence."""
+        self.ballot.stop()
+        if self.primary == self.address:
+            self.primary = None
+        self.lead.abandon(now)
+        self.heard_at = now
+        self.stand_at = now + self.timing.suspect * (0.5 + self.random.random())
+
+    def hand_over(self, now: float, heir: str) -> None:
+        self.send(heir, m.HandOver(self.held.record.number))
+        self.step_down(now)
+        self.stand_at = now + 2 * self.timing.suspect
+
+    def leave_on(self, now: float) -> None:
+        """While leaving: the primary finishes what is open and hands over; a holder waits to be replaced."""
+        lead, held = self.lead, self.held
+        waits = now < self.left_by
+        if lead.active and waits and (lead.open or lead.queue):
+            return
+        if lead.active and lead.hand_over(now):
+            return
+        if waits and (self.ballot.phase or (held.is_member() and not self.hears_primary(now)) or (
+                held.is_holder() and len(held.record.members) > 1 and not lead.active)):
+            return
+        self.gone = True
+        self.step_down(now)
+        for _, ticket, _, shipped, _ in self.waiting.entries:
+            self.effects.append(Answer(ticket, Unclear() if shipped else Unavailable()))
+        self.waiting.entries = []
+        self.effects.append(Left())
+
+    def refused(self, now: float, sender: str, refusal: m.Refusal) -> None:
+        self.highest = max(self.highest, refusal.promised)
+        if refusal.record.active:
+            self.held.learn(now, refusal.record)
+        if self.lead.active and refusal.number == self.lead.epoch and refusal.promised > refusal.number:
+            self.step_down(now)   # a member has given its word to a higher number
+        else:
+            self.ballot.refused(now, refusal)
+
+    HANDLERS = {
+        m.Hello: lambda self, now, sender, x: self.joining.on_hello(now, sender, x),
+        m.Whereabouts: lambda self, now, sender, x: self.joining.on_whereabouts(now, sender, x),
+        m.PreVote: lambda self, now, sender, x: self.voting.pre_vote(now, sender, x),
+        m.PreVoteReply: lambda self, now, sender, x: self.ballot.pre_vote_reply(now, sender, x),
+        m.Prepare: lambda self, now, sender, x: self.voting.prepare(now, sender, x),
+        m.Promise: lambda self, now, sender, x: self.ballot.promise(now, x),
+        m.Refusal: lambda self, now, sender, x: self.refused(now, sender, x),
+        m.Fetch: lambda self, now, sender, x: self.voting.fetch(now, sender, x),
+        m.Transfer: lambda self, now, sender, x: self.ballot.transfer(now, x),
+        m.Install: lambda self, now, sender, x: self.voting.install(now, sender, x),
+        m.Installed: lambda self, now, sender, x: self.ballot.on_installed(now, x),
+        m.Replicate: lambda self, now, sender, x: self.voting.replicate(now, sender, x),
+        m.Learn: lambda self, now, sender, x: self.voting.learn(now, sender, x),
+        m.Heartbeat: lambda self, now, sender, x: self.voting.heartbeat(now, sender, x),
+        m.Ack: lambda self, now, sender, x: self.lead.ack(now, sender, x),
+        m.HandOver: lambda self, now, sender, x: self.voting.hand_over(now, sender, x),
+    }
--- /dev/null
+++ b/shedgrade/replication/messages.py
@@ -0,0 +1,194 @@
+"""What members say to one another, and the record of an epoch. All are msgspec Structs, tagged by their name.
+
+A mark (epoch, sequence) names one change: the epoch that decided it and its place in the one chain.
+An incarnation is the number that a process draws with an empty disk; 0 is a founder that was not heard yet.
+"""
+from __future__ import annotations
+
+from msgspec import Struct
+
+Mark = tuple[int, int]
+Changes = dict[str, bytes | None]
+
+
+class Peer(Struct, frozen=True, array_like=True):
+    """A process as the record of an epoch names it; `address` is its link address."""
+    incarnation: int
+    name: str
+    address: str
+
+
+class EpochRecord(Struct, frozen=True, array_like=True):
+    """`holders` and `primary` are incarnations. Until it is known that all holders have it (`active`), a
+    ballot
+    needs a majority of `members` and one of `before`: another epoch may have been made from those."""
+    number: int
+    primary: int
+    holders: tuple[int, ...]
+    members: tuple[Peer, ...]
+    before: tuple[Peer, ...]
+    active: bool
+
+
+class Hello(Struct, frozen=True, tag=True, array_like=True):
+    """A process that wants to join, or that lost sight of the primary."""
+    incarnation: int
+    name: str
+    address: str
+    founding: bool
+    record: int
+    finished: Mark
+
+
+class Whereabouts(Struct, frozen=True, tag=True, array_like=True):
+    """Answer to a hello by who is not the primary: what it knows."""
+    primary: str | None
+    record: EpochRecord
+
+
+class PreVote(Struct, frozen=True, tag=True, array_like=True):
+    """Would you promise? Binds nobody."""
+    incarnation: int
+    number: int
+    record: int
+    accepted: int
+    sequence: int
+
+
+class PreVoteReply(Struct, frozen=True, tag=True, array_like=True):
+    incarnation: int
+    founding: bool
+    number: int
+    granted: bool
+    promised: int
+    primary: str | None
+    record: EpochRecord | None
+
+
+class Prepare(Struct, frozen=True, tag=True, array_like=True):
+    """Asks for a promise to accept nothing under `number` from now on."""
+    incarnation: int
+    number: int
+    record: EpochRecord
+
+
+class Promise(Struct, frozen=True, tag=True, array_like=True):
+    """Synced before it is sent. `accepted` is the epoch as whose holder the sender has the state at
+    `mark`."""
+    incarnation: int
+    address: str
+    founding: bool
+    number: int
+    record: EpochRecord
+    accepted: int
+    mark: Mark
+
+
+class Refusal(Struct, frozen=True, tag=True, array_like=True):
+    """The sender has promised a higher number, or knows a newer epoch."""
+    incarnation: int
+    number: int
+    promised: int
+    record: EpochRecord
+
+
+class Fetch(Struct, frozen=True, tag=True, array_like=True):
+    """A candidate asks for the state that a promise told of."""
+    number: int
+
+
+class Transfer(Struct, frozen=True, tag=True, array_like=True):
+    number: int
+    mark: Mark
+    state: dict[str, bytes]
+
+
+class Install(Struct, frozen=True, tag=True, array_like=True):
+    """A new epoch for one of its holders. With `base` the changes lead from there to `mark`, else they are
+    all of it."""
+    record: EpochRecord
+    mark: Mark
+    base: Mark | None
+    changes: Changes
+
+
+class Installed(Struct, frozen=True, tag=True, array_like=True):
+    incarnation: int
+    number: int
+
+
+class Replicate(Struct, frozen=True, tag=True, array_like=True):
+    """One write, from the primary to a backup."""
+    epoch: int
+    sequence: int
+    finished: Mark
+    changes: Changes
+
+
+class Learn(Struct, frozen=True, tag=True, array_like=True):
+    """Finished state for who holds none. With `base` the changes lead from there to `mark`, else they are
+    all of it."""
+    epoch: int
+    mark: Mark
+    base: Mark | None
+    changes: Changes
+
+
+class Heartbeat(Struct, frozen=True, tag=True, array_like=True):
+    """`round` numbers the confirming rounds of the primary; the record goes with it to who lacks it."""
+    epoch: int
+    round: int
+    finished: Mark
+    record: EpochRecord | None
+
+
+class Ack(Struct, frozen=True, tag=True, array_like=True):
+    """The answer to Heartbeat, Replicate and Learn. `received` and `durable` are sequences in this epoch,
+    or -1."""
+    epoch: int
+    incarnation: int
+    name: str
+    round: int
+    received: int
+    durable: int
+    finished: Mark
+    record: int
+    promised: int
+    healthy: bool
+    leaving: bool
+
+
+class HandOver(Struct, frozen=True, tag=True, array_like=True):
+    """The primary of `epoch` asks the receiver to take over."""
+    epoch: int
+
+
+Message = (
+    Hello | Whereabouts | PreVote | PreVoteReply | Prepare | Promise | Refusal | Fetch | Transfer | Install
+    | Installed | Replicate | Learn | Heartbeat | Ack | HandOver)
+
+
+def majority(peers: tuple[Peer, ...]) -> int:
+    return len(peers) // 2 + 1
+
+
+def matches(peer: Peer, incarnation: int, address: str, founding: bool) -> bool:
+    """Whether the voter is this member. A founder not heard yet is known by its address: its memory is
+    whole."""
+    return peer.incarnation == incarnation or (not peer.incarnation and founding and peer.address == address)
+
+
+def count(peers: tuple[Peer, ...], voters) -> int:
+    """How many of the peers are among the voters (each with incarnation, address, founding)."""
+    return sum(any(matches(peer, v.incarnation, v.address, v.founding) for v in voters) for peer in peers)
+
+
+def is_quorum(record: EpochRecord, voters) -> bool:
+    """A majority of the members, and of those before while the epoch is not known to be active."""
+    if count(record.members, voters) < majority(record.members):
+        return False
+    return record.active or count(record.before, voters) >= majority(record.before)
+
+
+def newest(a: EpochRecord, b: EpochRecord) -> EpochRecord:
+    return b if (b.number, b.active) > (a.number, a.active) else a
--- /dev/null
+++ b/shedgrade/replication/primary.py
@@ -0,0 +1,332 @@
+"""The primary's part: decide, write to all holders of the epoch, confirm, tell the others what is
+finished."""
+from __future__ import annotations
+
+from collections import deque
+
+from .effects import Answer, Reading, Unavailable, Unclear
+from .held import merge, size
+from .messages import Ack, Heartbeat, Learn, Replicate
+
+
+class Follower:
+    """What the primary knows of one other process."""
+    __slots__ = ("incarnation", "name", "address", "heard", "round", "received", "durable", "finished",
+                 "record", "healthy", "leaving", "since", "sent_to", "resend_at", "learn_at", "learnt",
+                 "misses")
+
+    def __init__(self, incarnation: int, name: str, address: str, now: float):
+        self.incarnation, self.name, self.address = incarnation, name, address
+        self.heard = self.since = now
+        self.round, self.received, self.durable = 0, -1, -1
+        self.finished, self.record = (0, 0), 0
+        self.healthy, self.leaving = True, False
+        self.sent_to = -1           # the newest sequence sent
+        self.resend_at = self.learn_at = 0.0
+        self.learnt = (0, 0)        # the newest finished mark sent
+        self.misses = 0
+
+
+class Pending:
+    __slots__ = ("ticket", "outcome", "sequence", "round", "read", "since")
+
+    def __init__(self, ticket, outcome, sequence, round_, read, since):
+        self.ticket, self.outcome, self.sequence, self.round = ticket, outcome, sequence, round_
+        self.read, self.since = read, since
+
+
+class Primary:
+    """Answers nothing while `active` is false. Orders that wait for an end of a ballot stay in `queue`."""
+
+    def __init__(self, member):
+        self.member = member
+        self.active = False
+        self.epoch = 0
+        self.followers: dict[int, Follower] = {}
+        self.holders: tuple[int, ...] = ()      # the other ones
+        self.pending: deque[Pending] = deque()
+        self.queue: deque[tuple[float, int, object]] = deque()
+        self.open: deque[tuple[int, dict, float]] = deque()   # not finished: sequence, changes, late after
+        self.round = self.confirmed = 0
+        self.beat_at = self.majority_at = self.began = 0.0
+        self.acting = False
+        self.own_durable = -1
+
+    # --- begin and end
+
+    def begin(self, now: float, record) -> None:
+        """All holders have synced the epoch: what they hold is finished."""
+        member, held = self.member, self.member.held
+        held.learn(now, record)
+        self.active, self.epoch = True, record.number
+        self.holders = tuple(each for each in record.holders if each != held.incarnation)
+        self.acting = len(record.holders) > member.tolerated
+        members = {peer.incarnation: peer for peer in record.members}
+        kept = {}
+        for incarnation, old in self.followers.items():
+            if incarnation in members or now - old.heard < 5 * member.timing.hello:
+                kept[incarnation] = old
+        for incarnation, peer in members.items():
+            if incarnation != held.incarnation and incarnation not in kept:
+                kept[incarnation] = Follower(incarnation, peer.name, peer.address, now)
+        for incarnation, follower in kept.items():
+            follower.since, follower.round, follower.sent_to = now, 0, -1
+            follower.received = follower.durable = -1
+            if incarnation in self.holders:
+                follower.heard = now
+                follower.sent_to = follower.received = follower.durable = held.mark[1]
+        self.followers = kept
+        self.own_durable = held.mark[1]
+        self.open.clear()
+        self.majority_at = self.began = now
+        held.finish(held.mark)
+        member.became_primary(now)
+        self.beat(now)
+        self.settle(now)
+        self.advance_queue(now)
+
+    def pause(self) -> None:
+        """A ballot of this process goes on; what is pending stays."""
+        self.active = False
+
+    def abandon(self, now: float) -> None:
+        """Another decides now. What was written may be finished by it: the answers are unclear."""
+        self.active = False
+        self.open.clear()
+        pending, self.pending = self.pending, deque()
+        for each in pending:
+            self.member.waiting.add(now, each.ticket, None, shipped=not each.read, read=each.read)
+        queue, self.queue = self.queue, deque()
+        for _, ticket, request in queue:
+            self.member.waiting.add(now, ticket, request)
+
+    # --- orders
+
+    def order(self, now: float, ticket: int, request) -> None:
+        self.queue.append((now, ticket, request))
+        self.advance_queue(now)
+
+    def read(self, now: float, ticket: int) -> None:
+        self.pending.append(Pending(ticket, None, self.member.held.mark[1], self.next_round(now), True, now))
+        self.settle(now)
+
+    def next_round(self, now: float) -> int:
+        self.round += 1
+        self.beat(now, holders_only=True)
+        return self.round
+
+    def advance_queue(self, now: float) -> None:
+        member, held = self.member, self.member.held
+        while self.active and self.acting and self.queue and len(self.open) < member.PIPELINE:
+            changes, state, replies = {}, held.state, []
+            while self.queue:
+                _, ticket, request = self.queue.popleft()
+                decision = member.decide(state, request)
+                replies.append((ticket, decision))
+                if decision.changes:
+                    state = merge(state, decision.changes)
+                    changes.update(decision.changes)
+            self.write(now, changes, replies)
+        self.settle(now)
+
+    def write(self, now: float, changes, replies) -> None:
+        held = self.member.held
+        sequence = held.mark[1] + (1 if changes else 0)
+        asks = 0 if changes else self.next_round(now)
+        for ticket, decision in replies:
+            self.pending.append(Pending(ticket, decision.outcome, sequence, asks, False, now))
+        if not changes:
+            return
+        epoch = self.epoch
+        late = now + self.member.timing.write_patience + size(changes) / self.member.timing.bytes_per_second
+        self.open.append((sequence, changes, late))
+        held.write(now, sequence, changes, lambda at: self.own_done(at, epoch, sequence))
+        for incarnation in self.holders:
+            self.replicate(now, self.followers[incarnation], sequence, changes)
+
+    def replicate(self, now: float, follower: Follower, sequence: int, changes) -> None:
+        wait = self.member.timing.resend + size(changes) / self.member.timing.bytes_per_second
+        follower.sent_to = max(follower.sent_to, sequence)
+        follower.resend_at = now + wait
+        finished = self.member.held.finished[:2]
+        self.member.send(follower.address, Replicate(self.epoch, sequence, finished, changes))
+
+    def own_done(self, now: float, epoch: int, sequence: int) -> None:
+        if self.active and epoch == self.epoch:
+            self.own_durable = max(self.own_durable, sequence)
+            self.advance(now)
+
+    def advance(self, now: float) -> None:
+        """What all holders have synced is finished."""
+        done = min([self.own_durable] + [self.followers[each].durable for each in self.holders])
+        moved = False
+        while self.open and self.open[0][0] <= done:
+            self.member.held.finish((self.epoch, self.open.popleft()[0]))
+            moved = True
+        if moved:
+            self.settle(now)
+            self.beat(now)
+            self.advance_queue(now)
+
+    def settle(self, now: float) -> None:
+        """Answer what is finished, or confirmed."""
+        if not self.active:
+            return
+        finished = self.open[0][0] - 1 if self.open else self.member.held.mark[1]
+        confirmed = min((self.followers[each].round for each in self.holders), default=self.round)
+        while self.pending and self.pending[0].sequence <= finished and self.pending[0].round <= confirmed:
+            each = self.pending.popleft()
+            outcome = Reading(*self.member.held.finished) if each.read else each.outcome
+            self.member.effects.append(Answer(each.ticket, outcome))
+
+    # --- others
+
+    def beat(self, now: float, holders_only: bool = False) -> None:
+        """A heartbeat to all, and what is finished to who lacks it."""
+        held = self.member.held
+        if not holders_only:
+            self.beat_at = now + self.member.timing.heartbeat
+        for incarnation, follower in list(self.followers.items()):
+            if now - follower.heard > 8 * self.member.timing.hello and not held.names(incarnation):
+                del self.followers[incarnation]   # a guest that is gone
+                continue
+            if holders_only and incarnation not in self.holders:
+                continue
+            record = None if follower.record == self.epoch else held.record
+            self.member.send(follower.address, Heartbeat(self.epoch, self.round, held.finished[:2], record))
+            if incarnation not in self.holders:
+                self.teach(now, follower)
+
+    def teach(self, now: float, follower: Follower) -> None:
+        """Finished state to a follower that holds none; to a silent one nothing but heartbeats."""
+        held, timing = self.member.held, self.member.timing
+        mark = held.finished[:2]
+        if follower.finished >= mark or now - follower.heard > timing.silent:
+            return
+        if follower.learnt == mark and now < follower.learn_at:
+            return
+        base, changes = follower.finished, held.between(follower.finished, mark)
+        if changes is None:
+            base, changes = None, held.finished[2]
+        follower.misses = follower.misses + 1 if follower.learnt == mark else 0
+        wait = timing.resend + size(changes) / timing.bytes_per_second
+        follower.learnt, follower.learn_at = mark, now + wait * 2 ** min(follower.misses, 4)
+        self.member.send(follower.address, Learn(self.epoch, mark, base, changes))
+
+    def ack(self, now: float, sender: str, ack: Ack) -> None:
+        member = self.member
+        member.highest = max(member.highest, ack.promised)
+        follower = self.followers.get(ack.incarnation)
+        if follower is None:
+            follower = self.followers[ack.incarnation] = Follower(ack.incarnation, ack.name, sender, now)
+        follower.heard, follower.address = now, sender
+        follower.record = max(follower.record, ack.record)
+        follower.finished = max(follower.finished, ack.finished)
+        follower.healthy, follower.leaving = ack.healthy, ack.leaving
+        if not self.active or ack.epoch != self.epoch:
+            return
+        if ack.incarnation in self.holders and ack.promised == self.epoch:
+            follower.received = max(follower.received, ack.received)
+            if ack.round > follower.round:
+                follower.round = ack.round
+                self.settle(now)
+            if ack.durable > follower.durable:
+                follower.durable = ack.durable
+                self.advance(now)
+        elif ack.incarnation not in self.holders:
+            self.teach(now, follower)
+
+    def hello(self, now: float, hello) -> None:
+        """A process that doesn't hear this primary, or is new: told at once where it is."""
+        who = hello.incarnation
+        follower = self.followers.get(who)
+        if follower is None:
+            follower = self.followers[who] = Follower(who, hello.name, hello.address, now)
+        follower.address, follower.finished = hello.address, max(follower.finished, hello.finished)
+        if hello.incarnation not in self.holders:
+            follower.heard = now
+        self.member.send(hello.address, Heartbeat(self.epoch, self.round, self.member.held.finished[:2],
+                                                  self.member.held.record))
+
+    # --- time
+
+    def expire(self, now: float) -> None:
+        """An order is not held for ever."""
+        hold = self.member.timing.hold
+        while self.queue and now - self.queue[0][0] >= 2 * hold:
+            self.member.effects.append(Answer(self.queue.popleft()[1], Unavailable()))
+        while self.pending and now - self.pending[0].since >= 3 * hold:
+            each = self.pending.popleft()
+            self.member.effects.append(Answer(each.ticket, Unavailable() if each.read else Unclear()))
+
+    def heard_lately(self, now: float, follower: Follower) -> bool:
+        return now - follower.heard < self.member.timing.silent
+
+    def tick(self, now: float) -> None:
+        if not self.active:
+            return
+        timing, held, record = self.member.timing, self.member.held, self.member.held.record
+        if now >= self.beat_at:
+            self.beat(now)
+        for incarnation in self.holders:
+            follower = self.followers[incarnation]
+            lacks = follower.received < follower.sent_to and now >= follower.resend_at
+            if lacks and self.heard_lately(now, follower):
+                for sequence, changes, _ in self.open:
+                    if sequence > follower.received:
+                        self.replicate(now, follower, sequence, changes)
+        heard = 1 + sum(self.heard_lately(now, f) for i, f in self.followers.items() if held.names(i))
+        if heard > len(record.members) // 2:
+            self.majority_at = now
+        elif now - self.majority_at > timing.deaf - timing.silent:
+            return self.member.step_down(now)   # cut off, perhaps one way: others must be able to take over
+        self.mend(now)
+
+    def is_able(self, now: float, follower: Follower) -> bool:
+        return self.heard_lately(now, follower) and follower.healthy and not follower.leaving
+
+    def ill(self, now: float, follower: Follower) -> bool:
+        """A holder that is silent, leaves, has an ill disk, or is late with a write."""
+        if not self.is_able(now, follower):
+            return True
+        return any(sequence > follower.durable and now >= late for sequence, _, late in self.open)
+
+    def mend(self, now: float) -> None:
+        """Replace ill holders, take in newcomers, hand over when the own disk is ill."""
+        member, held = self.member, self.member.held
+        record = held.record
+        able = [each for each, follower in self.followers.items() if held.names(each)
+                and self.is_able(now, follower)]
+        ill = frozenset(each for each in self.holders if self.ill(now, self.followers[each]))
+        if not member.saving.healthy(now) and self.hand_over(now):
+            return
+        if now < member.reform_at:
+            return
+        wanted = max(len(record.members) // 2, member.tolerated)    # beside this process
+        good = [each for each in able if each not in ill]
+        change = member.joining.change(now, self, record)
+        if (ill and len(good) >= len(self.holders)) or (len(self.holders) < wanted <= len(good)) or (
+                change is not None and not ill):
+            member.reform(now, change, ill)
+
+    def hand_over(self, now: float) -> bool:
+        """To the holder that has most, or else to any member."""
+        member = self.member
+        heard = [f for i, f in self.followers.items() if self.is_able(now, f) and member.held.names(i)]
+        if not heard:
+            return False
+        heir = max(heard, key=lambda f: (f.durable, f.incarnation in self.holders, f.heard))
+        member.hand_over(now, heir.address)
+        return True
+
+    def wake_at(self, now: float) -> float:
+        if not self.active:
+            return float("inf")
+        wake = self.beat_at
+        for _, _, late in self.open:
+            wake = min(wake, late) if late > now else wake
+        for incarnation in self.holders:
+            follower = self.followers[incarnation]
+            if follower.received < follower.sent_to and follower.resend_at > now:
+                wake = min(wake, follower.resend_at)
+        return wake
--- /dev/null
+++ b/shedgrade/replication/timing.py
@@ -0,0 +1,24 @@
+"""The bounds in time that replication keeps."""
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Timing:
+    """All in seconds, but `bytes_per_second`. Fit for round trips up to 150 ms."""
+    heartbeat: float = 0.25       # from the primary to each other process
+    suspect: float = 0.55         # no word of the primary for so long: a pre-vote is asked and granted
+    stagger: float = 0.15         # candidates spread over this
+    witness_extra: float = 0.2    # a witness leaves the first try to a holder of the state
+    silent: float = 0.6           # a holder that was not heard for so long is replaced
+    write_patience: float = 0.45  # so is one that has not written what it was sent
+    disk_patience: float = 0.35   # a disk that has not answered for so long is ill
+    disk_retry: float = 1.0       # after a refused write
+    deaf: float = 0.8             # a primary that hears no majority for so long steps down
+    resend: float = 0.3
+    ballot: float = 1.2           # a ballot without end is given up after this
+    founding: float = 1.0         # the founders wait so long for the last of them
+    replace: float = 2.5          # a member silent for so long gives its place to a newcomer
+    hold: float = 1.0             # an order waits so long for a primary
+    hello: float = 0.5
+    handover: float = 1.0         # a process that leaves waits at most so long
+    bytes_per_second: float = 250_000.0   # the slowest link that patience is reckoned for
--- /dev/null
+++ b/shedgrade/replication/voting.py
@@ -0,0 +1,160 @@
+"""What every member does for others: promises, pre-votes, installs, writes as a backup, what it learns."""
+from __future__ import annotations
+
+from .held import merge
+from .messages import (
+    Ack,
+    Fetch,
+    HandOver,
+    Heartbeat,
+    Install,
+    Installed,
+    Learn,
+    Prepare,
+    PreVote,
+    PreVoteReply,
+    Refusal,
+    Replicate,
+    Transfer,
+)
+
+
+class Voting:
+    """A member's part towards candidates and the primary."""
+
+    def __init__(self, member):
+        self.member = member
+
+    # --- candidates
+
+    def pre_vote(self, now: float, sender: str, question: PreVote) -> None:
+        member, held = self.member, self.member.held
+        granted = (member.is_voter() and member.saving.healthy(now) and not member.lead.active
+                   and (not member.hears_primary(now) or question.incarnation == held.record.primary))
+        if granted and member.may_stand(now) and now < member.heard_at + 3 * member.timing.suspect and (
+                question.accepted, question.sequence) < (held.accepted, held.mark[1]):
+            granted = False   # this holder has newer state and misses the primary too: it stands itself
+        record = held.record if held.record.active and held.record.number > question.record else None
+        primary = member.primary if member.hears_primary(now) or member.lead.active else None
+        member.send(sender, PreVoteReply(held.incarnation, held.founding, question.number, granted,
+                                         max(held.promise[0], member.highest), primary, record))
+
+    def prepare(self, now: float, sender: str, prepare: Prepare) -> None:
+        member, held = self.member, self.member.held
+        if prepare.record.active:
+            held.learn(now, prepare.record)
+        if not member.is_voter():
+            return   # a process that has forgotten, or was never named: its word must not count
+        number, candidate = prepare.number, prepare.incarnation
+        member.highest = max(member.highest, number)
+        if held.promise == (number, candidate):
+            if member.promised == number:
+                member.send(sender, member.own_promise(number))
+        elif number > held.promise[0]:
+            member.step_down(now)
+            member.heard_at = max(member.heard_at, now - member.timing.suspect / 2)   # let it have its try
+            held.promise_to(now, number, candidate, lambda at: self.promised(sender, number))
+        else:
+            self.refuse(sender, number)
+
+    def promised(self, sender: str, number: int) -> None:
+        held = self.member.held
+        if held.promise[0] == number:
+            self.member.promised = number
+            self.member.send(sender, self.member.own_promise(number))
+
+    def refuse(self, sender: str, number: int) -> None:
+        held = self.member.held
+        self.member.send(sender, Refusal(held.incarnation, number, held.promise[0], held.record))
+
+    def fetch(self, now: float, sender: str, fetch: Fetch) -> None:
+        held = self.member.held
+        if held.promise[0] == fetch.number:
+            self.member.send(sender, Transfer(fetch.number, held.mark, held.state))
+
+    def install(self, now: float, sender: str, install: Install) -> None:
+        member, held, record = self.member, self.member.held, install.record
+        if record.number < held.promise[0] or (
+                record.number == held.promise[0] and record.primary != held.promise[1]):
+            return self.refuse(sender, record.number)
+        if held.accepted == record.number and held.record.number == record.number:
+            if held.installed == record.number:
+                member.send(sender, Installed(held.incarnation, record.number))
+            return
+        if held.record.number > record.number or held.incarnation not in record.holders:
+            return
+        if install.base is not None and install.base != held.mark:
+            return
+        member.step_down(now)
+        state = install.changes if install.base is None else merge(held.state, install.changes)
+        changes = None if install.base is None else install.changes
+        member.heard_at = now
+
+        def done(at: float) -> None:
+            member.send(sender, Installed(held.incarnation, record.number))
+        held.install(now, record, install.mark, state, changes, done)
+
+    # --- the primary
+
+    def heartbeat(self, now: float, sender: str, beat: Heartbeat) -> None:
+        if self.follow(now, sender, beat.epoch, beat.record):
+            self.finish(beat.epoch, beat.finished)
+            self.ack(now, sender, beat.epoch, beat.round)
+
+    def replicate(self, now: float, sender: str, write: Replicate) -> None:
+        if not self.follow(now, sender, write.epoch, None):
+            return
+        held = self.member.held
+        if held.accepted != write.epoch or not held.is_holder():
+            return
+        if write.sequence == held.mark[1] + 1:
+            held.write(now, write.sequence, write.changes, lambda at: self.ack(at, sender, write.epoch, 0))
+        else:   # a gap is filled by the primary, which hears what was received
+            self.ack(now, sender, write.epoch, 0)
+        self.finish(write.epoch, write.finished)
+
+    def learn(self, now: float, sender: str, learn: Learn) -> None:
+        if not self.follow(now, sender, learn.epoch, None):
+            return
+        held = self.member.held
+        if learn.base is None:
+            held.finish_with(learn.mark, learn.changes)
+        elif learn.base == held.finished[:2]:
+            held.finish_with(learn.mark, merge(held.finished[2], learn.changes))
+        self.ack(now, sender, learn.epoch, 0)
+
+    def follow(self, now: float, sender: str, epoch: int, record) -> bool:
+        """Whether the sender is the primary of the newest epoch that is known here."""
+        member, held = self.member, self.member.held
+        if record is not None and record.number == epoch and epoch >= held.promise[0]:
+            held.learn(now, record)
+        if epoch < held.record.number or (epoch < held.promise[0] and held.is_member()):
+            self.refuse(sender, epoch)
+            return False
+        if epoch > held.record.number:
+            # the record is not here yet: the ack says so, and the primary sends it
+            self.ack(now, sender, epoch, 0)
+            return False
+        if not held.record.active and held.accepted != epoch:
+            return False
+        member.follows(now, sender, epoch)
+        return True
+
+    def finish(self, epoch: int, mark) -> None:
+        held = self.member.held
+        if held.accepted == epoch and mark <= held.mark:
+            held.finish(mark)
+
+    def ack(self, now: float, sender: str, epoch: int, round_: int) -> None:
+        member, held = self.member, self.member.held
+        holder = held.accepted == epoch and held.promise[0] == epoch
+        member.send(sender, Ack(
+            epoch, held.incarnation, member.name, round_, held.mark[1] if holder else -1,
+            held.durable[1] if holder and held.installed == epoch else -1, held.finished[:2],
+            held.record.number if held.record.active else 0, held.promise[0], member.saving.healthy(now),
+            member.leaving))
+
+    def hand_over(self, now: float, sender: str, word: HandOver) -> None:
+        member = self.member
+        if word.epoch == member.held.record.number and member.may_stand(now):
+            member.stand(now)
--- /dev/null
+++ b/tests/replication/test_messages.py
@@ -0,0 +1,37 @@
+"""Each message survives its way over the wire."""
+import msgspec
+
+from shedgrade.replication import messages as m
+
+PEER = m.Peer(7, "a", "10.0.0.1:7300")
+RECORD = m.EpochRecord(3, 7, (7, 9), (PEER, m.Peer(9, "b", "10.0.0.2:7300")), (PEER,), False)
+ALL = [
+    m.Hello(7, "a", "10.0.0.1:7300", True, 3, (1, 2)), m.Whereabouts(None, RECORD), m.PreVote(7, 4, 3, 2, 1),
+    m.PreVoteReply(7, False, 4, True, 3, "10.0.0.1:7300", RECORD), m.Prepare(7, 4, RECORD),
+    m.Promise(7, "10.0.0.1:7300", False, 4, RECORD, 3, (3, 1)), m.Refusal(7, 4, 5, RECORD), m.Fetch(4),
+    m.Transfer(4, (3, 1), {"a": b"\x00"}), m.Install(RECORD, (3, 1), None, {"a": b"", "b": None}),
+    m.Installed(7, 3), m.Replicate(3, 4, (3, 3), {"a": b"1"}), m.Learn(3, (3, 1), (2, 1), {}),
+    m.Heartbeat(3, 4, (3, 1), RECORD), m.Ack(3, 7, "a", 1, 2, 2, (3, 1), 3, 3, True, False), m.HandOver(3),
+]
+
+
+def test_every_message_is_read_as_it_was_written():
+    decoder = msgspec.msgpack.Decoder(m.Message)
+    assert {type(each) for each in ALL} == set(m.Message.__args__)
+    for each in ALL:
+        assert decoder.decode(msgspec.msgpack.encode(each)) == each
+
+
+def test_an_epoch_not_known_to_be_active_needs_those_before_too():
+    other = m.Peer(8, "c", "10.0.0.3:7300")
+    record = m.EpochRecord(4, 7, (7, 9), (PEER, other), (PEER, m.Peer(9, "b", "b:1")), False)
+    voter = m.Hello(7, "a", "", False, 0, (0, 0)), m.Hello(8, "c", "", False, 0, (0, 0))
+    assert not m.is_quorum(record, voter)
+    assert m.is_quorum(msgspec.structs.replace(record, active=True), voter)
+
+
+def test_a_founder_not_heard_counts_by_its_address_and_only_with_a_whole_memory():
+    nobody = m.Peer(0, "", "a:1")
+    assert m.matches(nobody, 5, "a:1", True)
+    assert not m.matches(nobody, 5, "a:1", False)
+    assert not m.matches(nobody, 5, "b:1", True)
