A core in virtual time: network, machines, troubles by seed, checkers

Machines, links and disks run in virtual time, operators race and resend, and the history is checked afterwards for one chain, nothing lost, no old read and no order that waits.

--- /dev/null
+++ b/shedgrade/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual time, network, disks, troubles by seed, histories and their checkers."""
--- /dev/null
+++ b/shedgrade/simulation/nemesis.py
@@ -0,0 +1,307 @@
+"""Troubles by seed: what a deployment's days hold for core machines."""
+from __future__ import annotations
+
+CATCH_UP = 4.0
+
+
+class Nemesis:
+    """In the profile "fair" at most `tolerated` machines are lost at once, each until CATCH_UP after its
+    return."""
+
+    def __init__(self, world):
+        self.world, self.clock, self.random = world, world.clock, world.random
+        self.lost_until: dict[str, float] = {}
+        self.undo: list = []
+        self.stopped = False
+
+    # --- who may be lost
+
+    def lost(self) -> set[str]:
+        now = self.clock.now
+        return {name for name, until in self.lost_until.items() if until > now}
+
+    def pick(self, preferred=None):
+        """A machine that may be lost now, or None."""
+        world = self.world
+        lost = self.lost()
+        free = [m for m in world.machines if m.name not in lost and m.up]
+        if world.profile == "fair" and len(lost) >= world.tolerated or not free:
+            return None
+        if preferred is not None and preferred in free:
+            return preferred
+        primaries = [m for m in free if m.member.role == "primary"]
+        return self.random.choice(primaries if primaries and self.random.random() < 0.5 else free)
+
+    def lose(self, machine, seconds: float) -> None:
+        now = self.clock.now
+        self.lost_until[machine.name] = max(self.lost_until.get(machine.name, 0.0), now + seconds + CATCH_UP)
+        self.world.history.trouble.append((now, now + seconds))
+
+    # --- time
+
+    def next(self) -> None:
+        if self.stopped:
+            return
+        storm = self.world.profile == "storm"
+        kinds = self.STORM if storm else self.FAIR
+        name = self.random.choice(kinds)
+        getattr(self, name)()
+        gap = self.random.choice((0.05, 0.3, 1.0, 2.5)) if storm else self.random.choice((0.1, 1.0, 4.0, 9.0))
+        self.clock.after(gap * (0.5 + self.random.random()), self.next)
+
+    def heal(self) -> None:
+        """All troubles end; every machine is up."""
+        self.stopped = True
+        now = self.clock.now
+        undo, self.undo = self.undo, []
+        for call in undo:
+            call()
+        for machine in self.world.machines:
+            machine.start()
+        self.world.history.trouble = [(a, min(b, now)) for a, b in self.world.history.trouble]
+        self.world.history.trouble.append((now, now + 0.001))
+        self.world.log("healed")
+
+    def for_a_while(self, seconds: float, undo) -> None:
+        """Call `undo` once, after the time or at the end of troubles."""
+        def once() -> None:
+            if once in self.undo:
+                self.undo.remove(once)
+                undo()
+        self.undo.append(once)
+        self.clock.after(seconds, once)
+
+    def some(self) -> float:
+        return self.random.choice((0.2, 0.6, 1.5, 3.0, 6.0)) * (0.5 + self.random.random())
+
+    # --- troubles
+
+    def node_kill(self, power: bool = False) -> None:
+        machine = self.pick()
+        if machine is not None:
+            down = self.some() if power else 0.1 + 0.5 * self.random.random()
+            self.lose(machine, down)
+            machine.kill(power)
+            self.clock.after(down, machine.start)
+
+    def power_off(self) -> None:
+        self.node_kill(True)
+
+    def wipe(self) -> None:
+        machine = self.pick()
+        if machine is not None:
+            self.wiped(machine, self.some())
+
+    def wiped(self, machine, down: float) -> None:
+        self.lose(machine, down)
+        machine.kill(True)
+        machine.wipe()
+        self.world.log("wiped", machine.name)
+        self.clock.after(down, machine.start)
+
+    def after_ack_kill(self) -> None:
+        def strike(machine) -> None:
+            machine = self.pick(machine)
+            if machine is not None and not self.stopped:
+                self.lose(machine, 2.0)
+                self.clock.after(0.004 * self.random.random(), machine.kill, True)
+                self.clock.after(2.0, machine.start)
+        self.world.on_ack = strike
+
+    def after_ack_wipe(self) -> None:
+        def strike(machine) -> None:
+            machine = self.pick(machine if self.random.random() < 0.6 else None)
+            if machine is not None and not self.stopped:
+                self.wiped(machine, 0.3 + 2 * self.random.random())
+        self.world.on_ack = strike
+
+    def freeze(self) -> None:
+        machine = self.pick()
+        if machine is not None and not machine.frozen:
+            seconds = self.some()
+            self.lose(machine, seconds)
+            self.world.log(f"freeze {seconds:.2f}", machine.name)
+            machine.freeze(True)
+            self.for_a_while(seconds, lambda: machine.freeze(False))
+
+    def disk_full(self) -> None:
+        machine = self.pick()
+        if machine is not None and not machine.full:
+            seconds = self.some()
+            self.lose(machine, seconds)
+            self.world.log(f"disk full {seconds:.2f}", machine.name)
+            machine.full = True
+
+            def undo() -> None:
+                machine.full = False
+            self.for_a_while(seconds, undo)
+
+    def disk_stall(self) -> None:
+        machine = self.pick()
+        if machine is not None and not machine.stalled:
+            seconds = self.some()
+            self.lose(machine, seconds)
+            self.world.log(f"disk stalls {seconds:.2f}", machine.name)
+            machine.stall(True)
+            self.for_a_while(seconds, lambda: machine.stall(False))
+
+    def disk_slow(self) -> None:
+        machine = self.pick()
+        if machine is not None and machine.sync == machine.usual_sync:
+            seconds = self.some()
+            self.lose(machine, seconds)
+            machine.sync = machine.usual_sync * self.random.choice((10, 40, 150))
+            self.world.log(f"disk slow {machine.sync:.2f} for {seconds:.2f}", machine.name)
+
+            def undo() -> None:
+                machine.sync = machine.usual_sync
+            self.for_a_while(seconds, undo)
+
+    def link_slow(self) -> None:
+        machine, network = self.pick(), self.world.network
+        if machine is not None and machine.address not in network.slow:
+            seconds = self.some()
+            self.lose(machine, seconds)
+            network.slow[machine.address] = self.random.choice((0.05, 0.3, 1.0))
+            self.world.log(f"slow {network.slow[machine.address]} for {seconds:.2f}", machine.name)
+            self.for_a_while(seconds, lambda: network.slow.pop(machine.address, None))
+
+    def core_cut(self, one_way: bool = False) -> None:
+        """One machine from all others."""
+        machine = self.pick()
+        if machine is None:
+            return
+        out = self.random.random() < 0.5
+        pairs = [(a, b) for other in self.world.machines if other is not machine
+                 for a, b in ((machine, other), (other, machine))
+                 if not one_way or (a is machine) == out]
+        self.cut(machine, pairs)
+
+    def core_cut_one_way(self) -> None:
+        self.core_cut(True)
+
+    def link_cut(self) -> None:
+        """One link between two machines, both ways or one way. The one machine counts as lost."""
+        machine = self.pick()
+        others = [other for other in self.world.machines if other is not machine]
+        if machine is None or not others:
+            return
+        other = self.random.choice(others)
+        pairs = [(machine, other), (other, machine)]
+        self.cut(machine, pairs if self.random.random() < 0.5 else [self.random.choice(pairs)])
+
+    def region_cut(self) -> None:
+        """A region from the others; each machine there counts."""
+        region = self.random.choice(("r0", "r1", "r2"))
+        inside = [m for m in self.world.machines if m.region == region and m.up]
+        lost = self.lost() | {m.name for m in inside}
+        if self.world.profile == "fair" and len(lost) > self.world.tolerated:
+            return
+        one_way = self.random.random() < 0.4
+        pairs = [(a, b) for m in inside for other in self.world.machines if other.region != region
+                 for a, b in ((m, other), (other, m)) if not one_way or a is m]
+        seconds = self.some()
+        for machine in inside:
+            self.lose(machine, seconds)
+        self.cut(None, pairs, seconds)
+
+    def cut(self, machine, pairs, seconds: float | None = None) -> None:
+        seconds = seconds or self.some()
+        network, pairs = self.world.network, [(a.address, b.address) for a, b in pairs]
+        if machine is not None:
+            self.lose(machine, seconds)
+        self.world.log(f"cut {seconds:.2f}", " ".join(f"{self.world.by_address[a].name}>"
+                                                      f"{self.world.by_address[b].name}" for a, b in pairs))
+        for pair in pairs:
+            network.cut(*pair)
+        self.for_a_while(seconds, lambda: [network.join(*pair) for pair in pairs])
+
+    def roll(self) -> None:
+        """Every machine is told to end, one after the other, and starts again."""
+        if self.world.profile == "fair" and self.lost():
+            return
+        gap = self.random.choice((0.5, 1.0, 2.0))
+        at = 0.0
+        for machine in list(self.world.machines):
+            self.clock.after(at, self.terminate, machine, None)
+            at += gap + 4.5
+        self.lost_until["roll"] = self.clock.now + at + CATCH_UP
+
+    def terminate(self, machine, then) -> None:
+        """SIGTERM, and a start soon after its end."""
+        if not machine.up or self.stopped:
+            return
+        self.world.log("terminate", machine.name)
+        self.lose(machine, 2.0)
+        if not machine.frozen:
+            machine.call("leave")
+
+        def again() -> None:
+            machine.kill()
+            (then or machine.start)()
+        self.clock.after(1.6, again)
+
+    def replace(self) -> None:
+        """A machine is told to end and goes for good; a spare with an empty disk comes for it elsewhere."""
+        machine, world = self.pick(), self.world
+        if machine is None or world.made > 12 or (world.profile == "fair" and self.lost()):
+            return
+
+        def spare() -> None:
+            if machine in world.machines and not machine.up:
+                world.machines.remove(machine)
+                world.log("removed", machine.name)
+                new = world.add(machine.region, machine.address.replace(".0.", f".{world.made + 10}."),
+                                machine.usual_sync)
+                self.lose(new, 0.5)
+                self.clock.after(0.5, new.start)
+        self.lost_until["replace"] = self.clock.now + 2 + 2 * CATCH_UP
+        self.terminate(machine, spare)
+
+    def all_power(self, power: bool = True) -> None:
+        """All lose power, or all processes are killed, and come back in any order."""
+        world = self.world
+        if world.profile == "fair" and self.lost():
+            return
+        last = 0.0
+        for machine in world.machines:
+            machine.kill(power)
+            back = 0.5 + 2 * self.random.random()
+            last = max(last, back)
+            self.lose(machine, back)
+            self.clock.after(back, machine.start)
+        world.history.restarts.append(self.clock.now + last)
+
+    def all_killed(self) -> None:
+        self.all_power(False)
+
+    def wipe_and_power(self) -> None:
+        """Right after an acknowledgement as many as tolerated lose their disks, all others their power."""
+        def strike(machine) -> None:
+            world = self.world
+            if self.stopped or (world.profile == "fair" and self.lost()):
+                return
+            others = [m for m in world.machines if m is not machine]
+            self.random.shuffle(others)
+            wiped = others[:world.tolerated] if self.random.random() < 0.4 or machine not in world.machines \
+                else [machine, *others[:world.tolerated - 1]]
+            world.log("wipe and power", " ".join(m.name for m in wiped))
+            last = 0.0
+            for each in world.machines:
+                each.kill(True)
+                if each in wiped:
+                    each.wipe()
+                back = 0.5 + 2 * self.random.random()
+                last = max(last, back)
+                self.lose(each, back)
+                self.clock.after(back, each.start)
+            world.history.restarts.append(self.clock.now + last)
+        if self.world.profile == "fair":
+            self.world.on_ack = strike
+
+    FAIR = ("node_kill", "power_off", "wipe", "after_ack_kill", "after_ack_wipe", "freeze", "disk_full",
+            "disk_stall", "disk_slow", "link_slow", "core_cut", "core_cut_one_way", "link_cut", "region_cut",
+            "roll", "replace", "all_power", "all_killed", "wipe_and_power")
+    STORM = ("node_kill", "power_off", "after_ack_kill", "freeze", "disk_full", "disk_stall", "disk_slow",
+             "link_slow", "core_cut", "core_cut_one_way", "link_cut", "link_cut", "link_cut", "region_cut",
+             "all_power", "all_killed")
--- /dev/null
+++ b/shedgrade/simulation/world.py
@@ -0,0 +1,110 @@
+"""A core in virtual time: machines, links, clients, troubles by seed, and the check of what was seen."""
+from __future__ import annotations
+
+from random import Random
+
+from shedgrade.replication import Member
+
+from .checkers import check
+from .clock import Scheduler
+from .history import History
+from .machine import Machine
+from .nemesis import Nemesis
+from .network import Network
+from .operators import Counter, Operator, Reader
+from .register import decide
+
+
+class World:
+    """`tolerated`: machines lost at once that every promise outlives; 2 * tolerated + 1 machines, three of
+    them seeds.
+
+    `profile`: "fair" keeps losses within what is tolerated and checks times; "storm" cuts and kills without
+    bound,
+    wipes nothing, and checks safety only; "calm" has no troubles."""
+
+    def __init__(self, seed: int, tolerated: int = 1, profile: str = "fair", member_class=Member,
+                 length: float = 20.0, trace: bool = False):
+        self.seed, self.random, self.clock, self.history = seed, Random(seed), Scheduler(), History()
+        self.tolerated, self.profile, self.member_class = tolerated, profile, member_class
+        self.length, self.trace = length, trace
+        self.decide = decide
+        chance = self.random
+        between = chance.choice((0.0005, 0.02, 0.035, 0.055))
+        lossy = chance.random() < (0.6 if profile == "storm" else 0.0)
+        self.network = Network(self.clock, chance, self.deliver, between=between,
+                               loss=chance.choice((0.01, 0.05, 0.15)) if lossy else 0.0,
+                               doubled=0.05 if lossy else 0.0, jitter=chance.choice((0.02, 0.1, 0.5)))
+        self.between = between
+        self.machines: list[Machine] = []
+        self.by_address: dict[str, Machine] = {}
+        self.tickets = self.payloads = self.made = 0
+        self.pace = chance.choice((0.1, 0.4, 1.0))
+        sync = chance.choice((0.002, 0.005))
+        self.seeds: tuple[str, ...] = tuple(f"10.{at % 3 + 1}.0.{at + 1}:7300" for at in range(3))
+        for at in range(2 * tolerated + 1):
+            self.add(f"r{at % 3}", f"10.{at % 3 + 1}.0.{at + 1}:7300", sync)
+        self.nemesis = Nemesis(self)
+        self.clients = [Operator(self, "a"), Operator(self, "b"), Counter(self, "c"), Reader(self, "d")]
+        self.on_ack = None
+
+    def add(self, region: str, address: str, sync: float) -> Machine:
+        self.made += 1
+        machine = Machine(self, f"m{self.made}", address, region)
+        machine.sync = machine.usual_sync = sync
+        self.machines.append(machine)
+        self.by_address[address] = machine
+        self.network.region[address] = region
+        return machine
+
+    def deliver(self, sender: str, to: str, message) -> None:
+        machine = self.by_address.get(to)
+        if machine is not None:
+            if self.trace == "messages":
+                self.log(f"{sender} ->", f"{machine.name} {message}")
+            machine.receive(sender, message)
+
+    def log(self, what: str, who: str = "") -> None:
+        self.history.events.append((self.clock.now, what, who))
+        if self.trace:
+            print(f"{self.clock.now:8.3f} {what} {who}")
+
+    def reachable(self) -> list[Machine]:
+        return [machine for machine in self.machines if not machine.frozen] or self.machines
+
+    def acknowledged(self, machine: Machine, call) -> None:
+        if self.on_ack is not None:
+            call_back, self.on_ack = self.on_ack, None
+            call_back(machine)
+
+    def play(self) -> History:
+        """The whole day: founding, troubles, all healed, a last read."""
+        history = self.history
+        for machine in self.machines:
+            self.clock.at(0.3 * self.random.random(), machine.start, True)
+        for client in self.clients:
+            self.clock.at(0.5 + 0.5 * self.random.random(), client.next)
+        history.trouble.append((0.0, 0.3))
+        if self.profile != "calm":
+            first = 2.0 if self.profile == "storm" else 3.0 + 4 * self.random.random()
+            self.clock.at(first, self.nemesis.next)
+        self.clock.run(self.length)
+        self.nemesis.heal()
+        self.clock.run(self.length + 12.0)
+        for client in self.clients:
+            client.stopped = True
+        self.clock.run(self.clock.now + 6.0)
+        history.end = self.clock.now
+        for client in self.clients:
+            if client.current is not None:
+                history.wrong.append(f"{client.name} still waits at the end for {client.current.request}")
+        last = Reader(self, "z")
+        last.stopped = True
+        last.begin(None)
+        self.clock.run(self.clock.now + 3.0)
+        if last.current is not None:
+            history.wrong.append("no read at the end")
+        return history
+
+    def wrong(self) -> list[str]:
+        return check(self.play(), self.profile != "storm")
