--- a/tests/link/test_ends.py
+++ b/tests/link/test_ends.py
@@ -179,7 +179,7 @@
         monkeypatch.setattr(tcp, "DIAL", 0.05)
         with socket.socket() as full, socket.socket() as first, socket.socket() as second:
             full.bind(two.where)
-            full.listen(0)      # the queue of new connections is full from the second on: a dial hears nothing
+            full.listen(0)      # full from the second connection on: a dial hears nothing
             for handle in (first, second):
                 handle.setblocking(False)
                 handle.connect_ex(two.where)
