Delivery takes what the control plane hands it; numbers leap for a new poller

The hub is handed its address, the members by a call, and the primary's word with its own time; it counts changes of its edges so that they are spread at once. A term shifted by chance would outgrow 64 bits, so a new poller leaps in the list's numbers instead. Findings of settings are given as text.

--- a/shedgrade/boot/reading.py
+++ b/shedgrade/boot/reading.py
@@ -4,7 +4,6 @@
 read, taking the modules out again frees next to none of it, and it stops at the first thing wrong.
 """
 import os
-import sys
 from collections.abc import Callable, Iterable
 
 import yaml
@@ -30,11 +29,9 @@
     """One value has the wrong form; its text says which is asked for."""
 
 
-def explain(error: SettingsError, stream=None) -> int:
-    """Writes one line a finding, to stderr if no stream is given; returns the exit status that says so, 2."""
-    for finding in error.findings:
-        print(f"settings: {finding}", file=stream or sys.stderr)
-    return 2
+def explain(error: SettingsError) -> str:
+    """One line a finding, for stderr; the command ends with status 2 then."""
+    return "\n".join(f"settings: {finding}" for finding in error.findings)
 
 
 def load(path: str | None = None) -> Settings:
--- a/shedgrade/controlplane/delivery.py
+++ b/shedgrade/controlplane/delivery.py
@@ -53,15 +53,14 @@
 
 
 class Hub:
-    """Answers the asks of edges from what this core member knows.
-
-    `members`: link addresses of the core members, set by the caller. `exchange`: s between two words of
-    another member on its edges; so much later they may be known here.
-    """
-
-    def __init__(self, now: float = 0.0, *, exchange: float = 0.5) -> None:
-        self.now, self.exchange = now, exchange
-        self.members: tuple[str, ...] = ()
+    """Answers the asks of edges from what this core member knows."""
+
+    def __init__(self, own: str, now: float, *, exchange: float = 0.5) -> None:
+        """`own`: this member's link address. `exchange`: s between two words of another member on its edges;
+        so much later they may be known here."""
+        self.own, self.now, self.exchange = own, now, exchange
+        self.addresses: tuple[str, ...] = ()        # of the core members
+        self.own_version = 0                        # grows when an edge heard here changed what it is
         self.held = (0, 0)                          # control state: (epoch, sequence)
         self.version, self.configuration, self.evacuations = 0, b"", ()
         self.sent: tuple[bytes, bool] | None = None     # the configuration as it travels
@@ -103,7 +102,12 @@
 
     def primary_heard(self, now: float) -> None:
         """The primary said that this member holds the newest; called steadily by the primary itself."""
-        self.now = self.primary_at = now
+        self.now = max(self.now, now)
+        self.primary_at = now if self.primary_at is None else max(self.primary_at, now)
+
+    def members(self, now: float, addresses: tuple[str, ...]) -> None:
+        """Link addresses of the core members, this one among them."""
+        self.now, self.addresses = max(self.now, now), addresses
 
     # --- asks
 
@@ -164,8 +168,8 @@
             if upstreams is None:
                 upstreams = deltas[base] = self.list.answer(*base, now)
         parked.reply(Told(
-            control, upstreams, self.count(now), self.members,
-            NEVER if self.primary_at is None else now - self.primary_at,
+            control, upstreams, self.count(now), self.addresses,
+            NEVER if self.primary_at is None else max(0.0, now - self.primary_at),
             NEVER if self.list is None else self.list.age_s(now), now - parked.at))
 
     # --- the directory of edges
@@ -214,6 +218,9 @@
                 or (not heard.own and heard.at <= self.lost.get(name, -inf))
                 or (known is not None and heard.at < known.at)):
             return
+        if heard.own and (known is None or (known.edge.life, known.edge.state) != (
+                heard.edge.life, heard.edge.state)):
+            self.own_version += 1
         if heard.edge.state == LEAVING:
             self.left[name] = (heard.edge.life, heard.at)
         self.heard[name] = heard
--- a/shedgrade/controlplane/platform.py
+++ b/shedgrade/controlplane/platform.py
@@ -26,7 +26,7 @@
 WHOLE = 4.0         # s within which an answer must be whole, however it drips
 SHARE = 0.8         # of the platform's rate that is used at the most: others may ask it too
 PAGES = 1000        # that one list may have
-CHANCE = 20         # bits of chance under the term of a duty
+LEAP = 2**20         # numbers that a new poller skips at the most
 TRIES = 3           # of one page that is turned away for the rate
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 1.0       # s before the next list after a failure
 PATH = b"/instances"
@@ -73,6 +73,7 @@
         self.clock = clock
         self.term = self.number = 0
         self.leads: int | None = None       # the term under which this process polls
+        self.leap = 0                       # numbers left out at the next change
         self.known_at: float | None = None  # when the platform last said all of this
         self.held: dict[str, Held] = {}
         # Each: the version before, and the ids that the next one changed or took away.
@@ -97,10 +98,10 @@
 
     # --- from the platform
 
-    def lead(self, term: int) -> None:
+    def lead(self, term: int, leap: int = 0) -> None:
         """This process polls from now on, under a term that nobody else has. The next list is dated by it,
-        even if nothing changed."""
-        self.leads = term if term >= self.term else self.term + 1
+        even if nothing changed; its number leaves out `leap` others."""
+        self.leads, self.leap = (term if term >= self.term else self.term + 1), leap
 
     def apply(self, now: float, entries: list) -> bool:
         """A whole list of the platform's entries; unsound ones are left out. Whether anything changed."""
@@ -124,7 +125,8 @@
             return False
         self.lacks = False
         held = {name: new if name in touched else self.held[name] for name, new in came.items()}
-        self.move((term, self.number + 1), held, touched)
+        self.move((term, self.number + 1 + self.leap), held, touched)
+        self.leap = 0
         return True
 
     def move(self, version: tuple[int, int], held: dict[str, Held], touched: set[str]) -> None:
@@ -274,13 +276,13 @@
         self.calls = 0
 
     def start(self, term: int | None = None) -> None:
-        """`term`: of the duty; the list is dated by it, and by chance beside it.
+        """`term`: of the duty; the list is dated by it, and its numbers leap by chance.
 
-        Guards against two lists with one date: when all core members start anew, so do the terms, and edges
+        Guards against two lists with one date: when all core members start anew, so may the terms, and edges
         still hold what was dated before.
         """
         if term is not None:
-            self.instances.lead(term << CHANCE | self.random.getrandbits(CHANCE))
+            self.instances.lead(term, self.random.randrange(LEAP))
         if self.task is None:
             self.task = self.loop.create_task(self.run())
 
