--- a/shedgrade/dataplane/ingress.py
+++ b/shedgrade/dataplane/ingress.py
@@ -4,7 +4,7 @@
 from shedgrade.dataplane.streams import ResumableStream
 from shedgrade.memory.flow import SMALL, Flow
 from shedgrade.memory.in_hand import Answer, Request
-from shedgrade.serving.request import Wants
+from shedgrade.serving.request import IDEMPOTENT, Wants
 from shedgrade.wire.application import ApplicationConnection, relative
 from shedgrade.wire.connection import declared, passed_on
 
@@ -73,7 +73,7 @@
                                                         route.priority, until)
         if flow is not None:
             flow.lost = lambda: service.turn.came(carried, False, not carried.coming)
-        service.turn.arrived(carried, route.method, wait)
+        service.turn.arrived(carried, route.method, wait, False)
 
     def unready(self) -> None:
         """Not served here, or not any more: nothing ran, and the next try goes elsewhere."""
@@ -103,7 +103,7 @@
         request.body),
                        before.service, again, True, before.priority, before.until)
         self.carried = self.failed = leg
-        before.service.turn.arrived(leg, 0, left)
+        before.service.turn.arrived(leg, IDEMPOTENT, left, False)
         return True
 
     def errored(self) -> None:
--- a/shedgrade/dataplane/streams.py
+++ b/shedgrade/dataplane/streams.py
@@ -6,7 +6,7 @@
 from shedgrade.memory.in_hand import Answer
 
 END = re.compile(rb"\r?\n\r?\n")
-ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 LONGEST = 1024 * 1024       # bytes of one event: more is no event
 
 
@@ -25,7 +25,7 @@
         self.source: Flow | None = None
         self.part = b""                 # of an event that is not whole
         self.last_id: bytes | None = None
-        self.ended = False
+        self.ended = self.waking = False
 
     # --- what the turn tells
 
@@ -40,7 +40,7 @@
         if first:
             self.out = Flow(self.budget, [])
             self.out.let_go()
-            self.out.room = self.pull
+            self.out.room = self.wake
         self.source, self.part = answer.flow, b""
         self.source.news = self.pull
         if first:
@@ -82,6 +82,16 @@
             else:
                 return
 
+    def wake(self) -> None:
+        """There is room again. Not from within the taking: what is taken there is not written yet."""
+        if self.source is not None and not self.waking:
+            self.waking = True
+            self.connection.front.loop.call_soon(self.go_on)
+
+    def go_on(self) -> None:
+        self.waking = False
+        self.pull()
+
     def events(self, piece: bytes) -> None:
         text = self.part + piece
         whole = 0
--- /dev/null
+++ b/tests/dataplane/ingress_rig.py
@@ -0,0 +1,183 @@
+"""A sidecar's clients' side on loopback, no control plane, among stand-in upstreams that follow a script."""
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+from types import SimpleNamespace
+
+from shedgrade.clock import Clock
+from shedgrade.configuration import Configuration, Limits, Route, Service, Split
+from shedgrade.dataplane.front import IngressFront
+from shedgrade.dataplane.ingress import IngressConnection
+from shedgrade.dataplane.routes import Routes
+from shedgrade.dataplane.service import ServicePool
+from shedgrade.dataplane.state import State
+from shedgrade.knowledge import Instance, ListMoved
+from shedgrade.memory.budget import Budget
+from shedgrade.wire.application import Listener
+
+BOUNDS = {"retryBudgetRatio": 0.2, "retrySlack": 50.0, "retryWindowS": 10.0}
+SETTINGS = SimpleNamespace(zones={"z1": "east", "z2": "west"}, region="east", bounds=BOUNDS,
+                           cloud_api=SimpleNamespace(max_lag_ms=800))
+
+
+def events(*numbers):
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in numbers)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+LAST = b"0\r\n\r\n"
+
+
+def head(request, status=200, seal=b"seal", **more):
+    lines = [b"HTTP/1.1 %d Whatever" % status, b"Attempt-Id: " + request["attempt-id"].encode()]
+    if seal:
+        lines.append(b"Server-Seal: " + seal)
+    lines += [f"{name.replace('_', '-')}: {value}".encode() for name, value in more.items()]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def streaming(request, seal=b"seal"):
+    return head(request, seal=seal, Content_Type="text/event-stream", Transfer_Encoding="chunked")
+
+
+def whole(request, body, status=200, seal=b"seal", **more):
+    return head(request, status, seal, Content_Length=len(body), **more) + body
+
+
+class Upstream:
+    """`script(request, writer)` answers each request; what came is kept in `requests`."""
+
+    def __init__(self, name, script):
+        self.name, self.script, self.requests, self.connections = name, script, [], 0
+        self.closed = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                text = await reader.readuntil(b"\r\n\r\n")
+                first, *lines = text.decode().strip().split("\r\n")
+                request = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+                request["first"], request["body"] = first, await reader.readexactly(
+                    int(request.get("content-length", 0)))
+                self.requests.append(request)
+                if await self.script(request, writer) is False:
+                    break
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.set()
+            writer.transport.abort()
+
+
+class Plane:
+    """Stands where a `DataPlane` stands for the front."""
+
+    def __init__(self, loop):
+        self.loop, self.clock = loop, Clock()
+        self.budget = Budget(4000, 300)
+        self.state = State(SETTINGS, loop.time, lambda name, repeats: ServicePool(
+            name, self.state.regions, "east", 7, loop, self.clock, self.budget, repeats, "edge-1"))
+        self.front = IngressFront(loop, self, self.budget, Random(7))
+        self.left = self.refuses = False
+
+    routes = property(lambda self: self.state.routes)
+    services = property(lambda self: self.state.services)
+
+    def ready(self):
+        return self.state.ready()
+
+    def leaving(self):
+        return self.left
+
+    def refusing(self):
+        return self.refuses
+
+
+def route(**more):
+    told = {"host": "rota.example", "path_prefix": "/a/", "name": "r", "route_class": "streaming",
+            "timeout_ms": 4000, "target_ms": 800, "priority": 1, "service": "lm", "max_attempts": 2, "session_affinity": True}
+    return Route(**{**told, **more})
+
+
+def configuration(*routes, services=("lm",), limits=None):
+    return Configuration(7, list(routes), [Service(name) for name in services], limits or Limits())
+
+
+def split(**weights):
+    return [Split(name, weight) for name, weight in weights.items()]
+
+
+@asynccontextmanager
+async def sidecar(configured, *upstreams, zones=None):
+    """`upstreams`: of service `lm`, in zone z1 unless `zones` says otherwise by name."""
+    loop = asyncio.get_running_loop()
+    plane = Plane(loop)
+    for upstream in upstreams:
+        await upstream.start()
+    plane.state.configured(Routes(configured, plane.state.regions))
+    plane.state.moved(ListMoved(1, 1, 0.0, changed=tuple(
+        Instance(upstream.name, getattr(upstream, "service", "lm"), upstream.address,
+                 (zones or {}).get(upstream.name, "z1"), "available") for upstream in upstreams)))
+    listener = Listener(loop, plane.front, ("127.0.0.1", 0), IngressConnection)
+    plane.address = listener.socket.getsockname()
+    listener.resume()
+    try:
+        yield plane
+    finally:
+        listener.close()
+        for connection in list(plane.front.clients):
+            connection.cut()
+        for upstream in upstreams:
+            upstream.server.close()
+        await asyncio.sleep(0)
+
+
+def request(path="/a/1", name="id-1", host="rota.example", wait=4000, body=b"prompt", **more):
+    lines = [f"POST {path} HTTP/1.1", f"Host: {host}", f"Content-Length: {len(body)}"]
+    if name:
+        lines.append(f"Attempt-Id: {name}")
+    if wait is not None:
+        lines.append(f"Time-Remaining: {wait}")
+    lines += [f"{key.replace('_', '-')}: {value}" for key, value in more.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Client:
+    """One connection to the sidecar."""
+
+    async def open(self, plane):
+        self.reader, self.writer = await asyncio.open_connection(*plane.address)
+        return self
+
+    def send(self, data):
+        self.writer.write(data)
+
+    async def head(self):
+        text = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 5)
+        first, *lines = text.decode().strip().split("\r\n")
+        self.headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+        self.status = int(first.split()[1])
+        return self.status
+
+    async def chunk(self):
+        size = int(await asyncio.wait_for(self.reader.readuntil(b"\r\n"), 5), 16)
+        data = await asyncio.wait_for(self.reader.readexactly(size + 2), 5)
+        return data[:-2]
+
+    async def body(self):
+        """All of the answer, whose head was read. IncompleteReadError or ConnectionError if it is cut."""
+        if "content-length" in self.headers:
+            return await asyncio.wait_for(self.reader.readexactly(int(self.headers["content-length"])), 5)
+        data = b""
+        while piece := await self.chunk():
+            data += piece
+        return data
--- /dev/null
+++ b/tests/dataplane/test_ingress.py
@@ -0,0 +1,368 @@
+"""Requests through a sidecar on loopback: what goes on, what comes back, and what each failure becomes."""
+import asyncio
+
+import pytest
+from ingress_rig import (
+    LAST,
+    Client,
+    Upstream,
+    chunk,
+    configuration,
+    events,
+    head,
+    request,
+    route,
+    sidecar,
+    streaming,
+    whole,
+)
+
+
+def run(coroutine):
+    return asyncio.run(coroutine)
+
+
+async def answered(plane, sent):
+    client = await Client().open(plane)
+    client.send(sent)
+    await client.head()
+    return client, await client.body()
+
+
+async def serve_all(request, writer):
+    writer.write(streaming(request) + chunk(events(1)) + chunk(events(2, 3)) + LAST)
+
+
+async def plain(request, writer):
+    writer.write(whole(request, b"free: 4"))
+
+
+def test_a_stream_comes_back_unchanged_with_the_seal():
+    async def play():
+        upstream = Upstream("i-1", serve_all)
+        async with sidecar(configuration(route()), upstream) as plane:
+            client, body = await answered(plane, request(Model_Name="m", Prompt_Prefix="aa:10,bb:20"))
+        assert (client.status, body) == (200, events(1, 2, 3))
+        assert client.headers["server-seal"] == "seal" and client.headers["attempt-id"] == "id-1"
+        came = upstream.requests[0]
+        assert came["first"] == "POST /a/1 HTTP/1.1" and came["body"] == b"prompt"
+        assert came["target-instance"] == "i-1" and came["attempt-id"] == "id-1"
+        assert came["prompt-prefix"] == "aa:10,bb:20" and came["model-name"] == "m"
+        assert 3900 <= int(came["time-remaining"]) <= 4000
+    run(play())
+
+
+def test_events_go_on_as_they_come():
+    async def play():
+        more = asyncio.Event()
+
+        async def slowly(request, writer):
+            writer.write(streaming(request) + chunk(events(1)))
+            await more.wait()
+            writer.write(chunk(events(2)) + LAST)
+
+        for resumable in (True, False):
+            more.clear()
+            async with sidecar(configuration(route(resumable=resumable)), Upstream("i-1", slowly)) as plane:
+                client = await Client().open(plane)
+                client.send(request())
+                assert await client.head() == 200
+                assert await client.chunk() == events(1)
+                more.set()
+                assert await client.body() == events(2)
+    run(play())
+
+
+def test_the_routes_time_binds():
+    async def play():
+        upstream = Upstream("i-1", serve_all)
+        async with sidecar(configuration(route(timeout_ms=700)), upstream) as plane:
+            await answered(plane, request())
+        assert int(upstream.requests[0]["time-remaining"]) <= 700
+    run(play())
+
+
+def test_a_broken_stream_is_taken_up_elsewhere_within_one_answer():
+    async def play():
+        broken = []
+
+        async def breaks(request, writer):
+            if broken:
+                after = int(request["last-event-id"])
+                writer.write(streaming(request, b"other") + chunk(events(*range(after + 1, 6))) + LAST)
+                return
+            broken.append(request)
+            writer.write(streaming(request) + chunk(events(1, 2) + b"id: 3\ndata: pie"))
+            await writer.drain()
+            return False
+
+        ups = [Upstream(name, breaks) for name in ("i-1", "i-2")]
+        async with sidecar(configuration(route(resumable=True)), *ups) as plane:
+            client, body = await answered(plane, request())
+        assert body == events(1, 2, 3, 4, 5) and client.headers["server-seal"] == "seal"
+        again = [came for up in ups for came in up.requests if "last-event-id" in came]
+        assert len(again) == 1 and again[0]["attempt-id"] == "id-1" and again[0]["last-event-id"] == "2"
+        assert all(len(up.requests) == 1 for up in ups)
+    run(play())
+
+
+@pytest.mark.parametrize("told", [{"resumable": False}, {"resumable": True, "max_attempts": 1}])
+def test_a_broken_stream_that_goes_nowhere_else_ends_visibly(told):
+    async def play():
+        async def breaks(request, writer):
+            writer.write(streaming(request) + chunk(events(1)))
+            await writer.drain()
+            return False
+
+        ups = [Upstream(name, breaks) for name in ("i-1", "i-2")]
+        async with sidecar(configuration(route(**told)), *ups) as plane:
+            client = await Client().open(plane)
+            client.send(request())
+            await client.head()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await client.body()
+        assert sum(len(up.requests) for up in ups) == 1
+    run(play())
+
+
+def test_what_an_upstream_did_not_run_goes_elsewhere():
+    async def play():
+        async def away(request, writer):
+            writer.write(whole(request, b"", 503, None, Not_Executed=1))
+
+        ups = [Upstream("i-1", away), Upstream("i-2", away)]
+        async with sidecar(configuration(route()), *ups) as plane:
+            client, _ = await answered(plane, request())
+        assert client.status == 503 and 0 < float(client.headers["retry-after"]) <= 1
+        assert [len(up.requests) for up in ups] == [1, 1]
+    run(play())
+
+
+def test_another_incarnation_at_the_address_gets_no_more():
+    async def play():
+        async def other(request, writer):
+            writer.write(whole(request, b"", 421, None, Instance_Id="i-9"))
+
+        gone, here = Upstream("i-1", other), Upstream("i-2", serve_all)
+        async with sidecar(configuration(route()), gone, here) as plane:
+            for number in range(4):
+                client, _ = await answered(plane, request(name=f"id-{number}"))
+                assert client.status == 200
+        assert len(gone.requests) <= 1 and len(here.requests) == 4
+    run(play())
+
+
+def test_an_unsafe_request_that_may_have_run_is_not_sent_again():
+    async def play():
+        async def drops(request, writer):
+            return False
+
+        ups = [Upstream("i-1", drops), Upstream("i-2", drops)]
+        async with sidecar(configuration(route(route_class="unsafe", max_attempts=3)), *ups) as plane:
+            client, _ = await answered(plane, request())
+        assert client.status == 502 and sum(len(up.requests) for up in ups) == 1
+    run(play())
+
+
+def test_a_safe_request_is_sent_again():
+    async def play():
+        dropped = []
+
+        async def drops_once(request, writer):
+            if not dropped:
+                dropped.append(request)
+                return False
+            writer.write(whole(request, b"free: 4"))
+
+        ups = [Upstream("i-1", drops_once), Upstream("i-2", drops_once)]
+        async with sidecar(configuration(route(route_class="safe")), *ups) as plane:
+            client, body = await answered(plane, request())
+        assert (client.status, body) == (200, b"free: 4")
+    run(play())
+
+
+def test_the_upstreams_own_failure_goes_back_as_it_came():
+    async def play():
+        async def fails(request, writer):
+            writer.write(whole(request, b"broken", 500))
+
+        async with sidecar(configuration(route(route_class="unsafe")), Upstream("i-1", fails)) as plane:
+            client, body = await answered(plane, request())
+        assert (client.status, body, client.headers["server-seal"]) == (500, b"broken", "seal")
+    run(play())
+
+
+def test_a_late_second_answer_is_told_by_its_id():
+    async def play():
+        async def surplus(request, writer):
+            if request["attempt-id"] == "id-2":
+                writer.write(whole({"attempt-id": "id-1"}, b"late"))
+            writer.write(whole(request, request["attempt-id"].encode()))
+
+        upstream = Upstream("i-1", surplus)
+        async with sidecar(configuration(route(route_class="safe")), upstream) as plane:
+            for name in ("id-1", "id-2"):
+                await asyncio.sleep(0.01)
+                client, body = await answered(plane, request(name=name))
+                assert (client.status, body) == (200, name.encode())
+        assert upstream.connections == 1
+    run(play())
+
+
+@pytest.mark.parametrize("told", [{"seal": None}, {"Content_Encoding": "gzip"}])
+def test_a_success_that_is_not_the_upstreams_is_none(told):
+    async def play():
+        async def spoilt(request, writer):
+            writer.write(whole(request, b"text", **told))
+
+        async with sidecar(configuration(route(route_class="unsafe")), Upstream("i-1", spoilt)) as plane:
+            client, _ = await answered(plane, request())
+        assert client.status == 502
+    run(play())
+
+
+@pytest.mark.parametrize(("sent", "status"), [
+    (request(path="/b/1"), 404), (request(path="/a"), 404), (request(host="other.example"), 404),
+    (request(name=None), 400), (request(wait="soon"), 400), (request(Host="rota.example"), 400),
+    (request(Attempt_Id="id-2"), 400)])
+def test_requests_that_are_none(sent, status):
+    async def play():
+        upstream = Upstream("i-1", serve_all)
+        async with sidecar(configuration(route()), upstream) as plane:
+            client, _ = await answered(plane, sent)
+        assert client.status == status and not upstream.requests
+    run(play())
+
+
+def test_no_upstream_is_told_at_once_with_when_to_come_back():
+    async def play():
+        async with sidecar(configuration(route())) as plane:
+            client, _ = await answered(plane, request())
+        assert client.status == 503 and float(client.headers["retry-after"]) > 0
+    run(play())
+
+
+def test_a_client_that_leaves_frees_its_upstream():
+    async def play():
+        async def forever(request, writer):
+            writer.write(streaming(request) + chunk(events(1)))
+            await writer.drain()
+            await asyncio.Event().wait()
+
+        for resumable in (True, False):
+            upstream = Upstream("i-1", serve_all)
+            ended = asyncio.Event()
+
+            async def until_closed(reader, writer, ended=ended):
+                text = await reader.readuntil(b"\r\n\r\n")
+                name = text.split(b"Attempt-Id: ")[1].split(b"\r\n")[0].decode()
+                writer.write(streaming({"attempt-id": name}) + chunk(events(1)))
+                while await reader.read(1000):
+                    pass
+                ended.set()
+
+            upstream.serve = until_closed
+            async with sidecar(configuration(route(resumable=resumable)), upstream) as plane:
+                client = await Client().open(plane)
+                client.send(request())
+                await client.head()
+                await client.chunk()
+                client.writer.transport.abort()
+                await asyncio.wait_for(ended.wait(), 5)
+                assert not plane.services["lm"].balancer.flight
+    run(play())
+
+
+def test_homes_are_kept_and_the_own_region_comes_first():
+    async def play():
+        east, west = Upstream("i-1", serve_all), Upstream("i-2", serve_all)
+        routes = configuration(route(), route(path_prefix="/home/", name="h", home_regions=["west"]))
+        async with sidecar(routes, east, west, zones={"i-2": "z2"}) as plane:
+            for number in range(3):
+                await answered(plane, request(name=f"a{number}"))
+                await answered(plane, request(path="/home/1", name=f"h{number}"))
+        assert len(east.requests) == len(west.requests) == 3
+        assert all(came["first"].startswith("POST /home/") for came in west.requests)
+    run(play())
+
+
+def test_an_evacuated_zone_gets_nothing():
+    async def play():
+        east, west = Upstream("i-1", serve_all), Upstream("i-2", serve_all)
+        async with sidecar(configuration(route()), east, west, zones={"i-2": "z2"}) as plane:
+            plane.state.evacuated = frozenset({"z1"})
+            plane.state.relist(["lm"])
+            await asyncio.sleep(0)
+            client, _ = await answered(plane, request())
+        assert client.status == 200 and not east.requests
+    run(play())
+
+
+def test_a_kept_connection_is_used_again():
+    async def play():
+        upstream = Upstream("i-1", plain)
+        async with sidecar(configuration(route(route_class="safe")), upstream) as plane:
+            client = await Client().open(plane)
+            for number in range(3):
+                await asyncio.sleep(0.01)
+                client.send(request(name=f"id-{number}"))
+                assert await client.head() == 200
+                assert await client.body() == b"free: 4"
+        assert upstream.connections == 1
+    run(play())
+
+
+def test_a_body_in_chunks_and_a_long_one_arrive_whole():
+    async def play():
+        upstream = Upstream("i-1", plain)
+        async with sidecar(configuration(route(route_class="safe")), upstream) as plane:
+            client = await Client().open(plane)
+            client.send(b"POST /a/1 HTTP/1.1\r\nHost: rota.example\r\nAttempt-Id: x\r\n"
+                        b"Time-Remaining: 3000\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"ab") + chunk(b"cd") + LAST)
+            assert await client.head() == 200
+            await client.body()
+            _, body = await answered(plane, request(name="y", body=b"z" * 110_000))
+        assert [came["body"] for came in upstream.requests] == [b"abcd", b"z" * 110_000]
+    run(play())
+
+
+def test_a_head_in_pieces_of_an_event_stream_and_the_end_without_a_blank_line():
+    async def play():
+        async def odd(request, writer):
+            writer.write(streaming(request) + chunk(b"id: 1\ndata: a\n"))
+            await writer.drain()
+            writer.write(chunk(b"\nid: 2\ndata: b") + LAST)
+
+        async with sidecar(configuration(route(resumable=True)), Upstream("i-1", odd)) as plane:
+            _, body = await answered(plane, request())
+        assert body == b"id: 1\ndata: a\n\nid: 2\ndata: b"
+    run(play())
+
+
+def test_answers_end_their_connection_while_the_sidecar_leaves():
+    async def play():
+        async with sidecar(configuration(route(route_class="safe")), Upstream("i-1", plain)) as plane:
+            client = await Client().open(plane)
+            client.send(request(name="a"))
+            await client.head()
+            await client.body()
+            plane.left = True
+            client.send(request(name="b"))
+            assert await client.head() == 200 and client.headers["connection"] == "close"
+            await client.body()
+            plane.refuses = True
+            refused, _ = await answered(plane, request(name="c"))
+            assert refused.status == 503 and refused.headers["connection"] == "close"
+    run(play())
+
+
+def test_the_head_of_an_answer_is_the_upstreams_less_what_belongs_to_a_connection():
+    async def play():
+        async def more(request, writer):
+            writer.write(head(request, Content_Length=2, Keep_Alive="timeout=5", X_Own="kept") + b"ok")
+
+        async with sidecar(configuration(route(route_class="safe")), Upstream("i-1", more)) as plane:
+            client, _ = await answered(plane, request())
+            assert client.headers["x-own"] == "kept" and "keep-alive" not in client.headers
+            assert plane.services["lm"].caller.idle.limit == 40_000
+    run(play())
--- a/tests/serving/test_serving_choice.py
+++ b/tests/serving/test_serving_choice.py
@@ -10,10 +10,11 @@
 SECOND = 10_000
 
 
-def balancer(regions=("a", "b"), own=0, ups=((0, 0), (1, 0), (2, 1), (3, 1)), slack=100.0, ratio=0.2, name="n1"):
+def balancer(regions=("a", "b"), own=0, ups=((0, 0), (1, 0), (2, 1), (3, 1)), slack=100.0, ratio=0.2,
+             name="n1"):
     made = ServingBalancer(list(regions), own, 7, 0, Repeats(ratio, slack, 10 * SECOND), name)
-    made.list_changed(0, [(index, region, outcomes.READY, 0, 0, 1000 + index, 1.0, 0) for index, region in ups],
-                      True, False)
+    rows = [(index, region, outcomes.READY, 0, 0, 1000 + index, 1.0, 0) for index, region in ups]
+    made.list_changed(0, rows, True, False)
     return made
 
 
