Asking: an edge asks the nearest core member that answers and is fresh

An edge must hear soon what moved, whoever of the core is dead, cut off or behind. The asker keeps one ask at a main member, takes another when it fails or its word is old, learns the near one from measured times, and never takes what is older. An answer says whether the list is still the same, since another list's age says nothing of it.

--- a/shedgrade/controlplane/delivery.py
+++ b/shedgrade/controlplane/delivery.py
@@ -162,8 +162,9 @@
                 self.sent = packed(self.configuration)
             whole, compressed = (None, False) if ask.version == self.version else self.sent
             control = ControlChange(*self.held, self.version, whole, self.evacuations, compressed)
-        if self.newer_list(parked):
-            base = tuple(ask.upstreams)
+        base = tuple(ask.upstreams)
+        same = self.list is not None and self.list.known_at is not None and self.list.version == base
+        if same or self.newer_list(parked):
             upstreams = deltas.get(base)
             if upstreams is None:
                 upstreams = deltas[base] = self.list.answer(*base, now)
--- a/shedgrade/knowledge.py
+++ b/shedgrade/knowledge.py
@@ -130,6 +130,7 @@
 
 class Told(msgspec.Struct, array_like=True, frozen=True, tag="told"):
     """The answer. `edges`: how many edges are known alive; `members`: link addresses of core members;
+    `upstreams`: what is newer, or that what the asker holds is still it, or None if neither is known;
     `fresh_s`: since this member heard the primary; `age_s`: of its list; `held_s`: the ask waited so long."""
 
     control: ControlChange | None
--- /dev/null
+++ b/tests/dataplane/test_asking.py
@@ -0,0 +1,448 @@
+"""Asking: whom an edge asks, what it takes, and how soon it hears, in virtual time against real hubs."""
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+import msgspec
+import orjson
+import pytest
+
+from shedgrade.controlplane.delivery import Hub
+from shedgrade.controlplane.platform import InstanceList
+from shedgrade.dataplane.asking import Asker
+from shedgrade.knowledge import (
+    LEAVING,
+    NEVER,
+    READY,
+    ControlChange,
+    Counts,
+    EdgeState,
+    ListMoved,
+    Told,
+    decode,
+    encode,
+)
+
+SEEDS = ("10.1.0.14:7300", "10.2.0.41:7300", "10.3.0.12:7300")
+EDGE = EdgeState("edge-1", "10.1.0.12:8263", "north-a", "north", 5)
+
+
+def state(version: int, *zones: str) -> dict[str, bytes]:
+    return {"configuration": b'{"configVersion":%d,"filling":"%s"}' % (version, b"x" * 10_000),
+            "version": b"%d" % version, "evacuations": orjson.dumps(zones)}
+
+
+def entries(*names: str) -> list[dict]:
+    return [{"instanceId": name, "service": "s", "address": "10.128.0.9:80", "zone": "north-a",
+             "state": "available"} for name in names]
+
+
+class World:
+    """Core members with hubs, one edge, and a network between them. `silent`: hears and says nothing;
+    `refusing`: its port is dead; `old`: does not hear the primary or of the list."""
+
+    def __init__(self, seed=1, way=0.01, seeds=SEEDS, beat=1.0, numbered=True) -> None:
+        self.random, self.now, self.events, self.order = Random(seed), 100.0, [], count()
+        self.way = dict.fromkeys(SEEDS, way)
+        self.hubs = {address: Hub(address, self.now) for address in SEEDS}
+        self.lists = {address: InstanceList(lambda: self.now) for address in SEEDS}
+        self.silent, self.refusing, self.old = set(), set(), set()
+        self.beat_at, self.asked, self.numbered = {}, [], numbered
+        self.open: dict[int, object] = {}
+        self.known: dict[str, object] = {}
+        self.told: list[tuple[float, object]] = []
+        self.epoch, self.sequence = 1, 0
+        self.polls = InstanceList(lambda: self.now)
+        self.polls.lead(1)
+        self.names = ["a", "b"]
+        self.at(0.0, self.beat)
+        self.asker = Asker(EDGE, seeds, self.random, self.now, beat=beat)
+        self.carry_out()
+
+    def at(self, after: float, call, *args) -> None:
+        heappush(self.events, (self.now + after, next(self.order), call, args))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while True:
+            due = [(self.events[0][0], 0)] if self.events else []
+            due.append((max(self.now, self.asker.wake_at()), 1))
+            due += [(max(self.now, hub.wake_at()), address) for address, hub in self.hubs.items()]
+            at, who = min(due, key=lambda pair: pair[0])
+            if at > until:
+                break
+            self.now = at
+            if who == 0:
+                _, _, call, args = heappop(self.events)
+                call(*args)
+            elif who == 1:
+                self.asker.tick(self.now)
+            else:
+                self.hubs[who].tick(self.now)
+            self.carry_out()
+        self.now = until
+
+    def carry_out(self) -> None:
+        effects, self.asker.effects[:] = list(self.asker.effects), []
+        for effect in effects:
+            self.asked.append((self.now, effect.address, effect.ask.wait))
+            self.open[effect.number] = effect
+            way = self.way.get(effect.address, 0.01)
+            if effect.address not in self.hubs or effect.address in self.refusing:
+                self.at(way, self.report, effect, None)
+            else:
+                self.at(way, self.arrives, effect)
+                self.at(effect.timeout, self.report, effect, None)
+        for update in self.asker.updates:
+            self.told.append((self.now, update))
+            self.apply(update)
+        self.asker.updates.clear()
+
+    def arrives(self, effect) -> None:
+        if effect.address in self.silent:
+            return
+        ask = decode(encode(effect.ask))
+        self.hubs[effect.address].ask(self.now, ask, lambda told: self.at(
+            self.way[effect.address], self.comes, effect, decode(encode(told))))
+
+    def comes(self, effect, told) -> None:
+        if effect.address not in self.silent:
+            self.report(effect, told)
+
+    def report(self, effect, told) -> None:
+        if self.open.pop(effect.number, None) is None:
+            return
+        number = [effect.number] if self.numbered else []
+        if told is None:
+            self.asker.failed(self.now, effect.address, *number)
+        else:
+            self.asker.answered(self.now, effect.address, told, *number)
+
+    def apply(self, update) -> None:
+        match update:
+            case ControlChange():
+                assert (update.epoch, update.sequence) > self.known.get("control", (0, 0))
+                self.known["control"] = (update.epoch, update.sequence)
+                if update.configuration is not None:
+                    self.known["configuration"] = update.configuration
+                self.known["evacuations"] = update.evacuations
+            case ListMoved():
+                held = {} if update.whole else self.known["list"]
+                held = {name: one for name, one in held.items() if name not in update.removed}
+                self.known["list"] = held | {one.id: one for one in update.changed}
+            case Counts():
+                self.known["counts"] = update
+
+    # --- the core
+
+    def beat(self) -> None:
+        """The primary's word, and the list with its age, for all that hear them."""
+        self.polls.apply(self.now, entries(*self.names))
+        for address, hub in self.hubs.items():
+            hub.members(self.now, SEEDS)
+            if address not in self.old:
+                hub.primary_heard(self.now)
+                held = self.lists[address]
+                if held.take(self.polls.answer(*held.version, now=self.now), now=self.now):
+                    hub.instances(self.now, held)
+        self.at(0.25, self.beat)
+
+    def change(self, version: int, *zones: str) -> None:
+        self.sequence += 1
+        for address, hub in self.hubs.items():
+            if address not in self.old:
+                hub.control(self.now, self.epoch, self.sequence, state(version, *zones))
+
+
+def test_two_are_asked_at_the_start_and_one_from_then_on():
+    world = World()
+    world.change(3)
+    assert [at for at, _, _ in world.asked] == [100.0, 100.0]
+    assert len({address for _, address, _ in world.asked}) == 2
+    world.run(0.05)
+    assert world.known["configuration"] == state(3)["configuration"]
+    assert set(world.known["list"]) == {"a", "b"}
+    world.run(3.0)          # the third is measured in the meantime
+    world.asked.clear()
+    world.run(20.0)
+    assert {address for _, address, _ in world.asked} == {world.asker.main.address}
+    assert len(world.asked) == pytest.approx(20, abs=2)
+
+
+@pytest.mark.parametrize("how", ["silent", "refusing"])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_dead_seed_costs_nothing_at_the_start(how, seed):
+    world = World(seed)
+    getattr(world, how).add(SEEDS[seed % 3])
+    world.change(3)
+    world.run(0.06)
+    assert "configuration" in world.known
+    world.run(1.0)
+    assert world.asker.counts.edges == 1 and world.asker.counts.members == SEEDS
+
+
+@pytest.mark.parametrize("numbered", [True, False])
+def test_what_moves_is_heard_within_one_way(numbered):
+    world = World(numbered=numbered)
+    world.run(5.3)
+    world.change(3)
+    world.run(0.0101)
+    assert world.known["configuration"] == state(3)["configuration"]
+    for version in range(4, 30):
+        world.run(0.08)
+        world.change(version)
+    world.run(0.05)
+    assert world.known["configuration"] == state(29)["configuration"]
+    world.names = ["a", "c"]
+    world.run(0.3)
+    assert set(world.known["list"]) == {"a", "c"}
+
+
+def test_unchanged_configurations_are_not_sent_again():
+    world = World()
+    world.change(3)
+    world.run(1.0)
+    world.told.clear()
+    world.change(3, "south-a")
+    world.run(0.1)
+    change, = (update for _, update in world.told if isinstance(update, ControlChange))
+    assert change.configuration is None and change.evacuations == ("south-a",)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_nearest_is_asked(seed):
+    world = World(seed)
+    world.way = dict(zip(SEEDS, (0.035, 0.0009, 0.036), strict=True))
+    world.run(5.0)
+    assert world.asker.main.address == SEEDS[1]
+    world.asked.clear()
+    world.run(100.0)
+    far = [address for _, address, _ in world.asked if address != SEEDS[1]]
+    assert len(far) <= 8
+
+
+@pytest.mark.parametrize("numbered", [True, False])
+@pytest.mark.parametrize("how", ["silent", "refusing"])
+@pytest.mark.parametrize("seed", range(4))
+def test_another_is_asked_when_the_main_one_dies_and_the_near_one_when_it_is_back(seed, how, numbered):
+    world = World(seed, numbered=numbered)
+    world.way = dict(zip(SEEDS, (0.001, 0.035, 0.036), strict=True))
+    world.run(5.0)
+    assert world.asker.main.address == SEEDS[0]
+    getattr(world, how).add(SEEDS[0])
+    world.change(3)
+    world.run(2.0)
+    assert world.known["configuration"] == state(3)["configuration"]
+    assert world.asker.main.address != SEEDS[0] and world.asker.lost(world.now) < 1.2
+    getattr(world, how).discard(SEEDS[0])
+    world.run(7.0)
+    assert world.asker.main.address == SEEDS[0]
+
+
+def test_dead_members_are_not_asked_all_the_time():
+    world = World()
+    world.refusing = {*SEEDS[1:]}
+    world.run(20.0)
+    world.asked.clear()
+    world.run(60.0)
+    assert sum(address in world.refusing for _, address, _ in world.asked) <= 2 * 60 / 4
+
+
+@pytest.mark.parametrize("how", ["silent", "refusing"])
+def test_all_gone_and_back(how):
+    world = World()
+    world.change(3)
+    world.run(5.0)
+    getattr(world, how).update(SEEDS)
+    world.asked.clear()
+    world.run(30.0)
+    assert 30 < len(world.asked) < 130
+    assert world.asker.lost(world.now) > 28 and world.known["configuration"] == state(3)["configuration"]
+    getattr(world, how).clear()
+    world.change(4)
+    world.run(1.2)
+    assert world.known["configuration"] == state(4)["configuration"] and world.asker.lost(world.now) < 1.2
+
+
+def test_the_platform_is_asked_only_when_all_are_silent_and_at_a_share():
+    world = World()
+    world.run(5.0)
+    assert world.asker.own_poll(world.now, 40.0) is None
+    world.silent.update(SEEDS)
+    world.run(5.0)
+    assert world.asker.own_poll(world.now, 40.0) == 3.0
+    world.asker.counts = Counts(540, SEEDS)
+    assert world.asker.own_poll(world.now, 40.0) == pytest.approx(54.0)
+    assert Asker(EDGE, SEEDS, Random(1), 0.0).own_poll(3.5, 4.0) == 3.0
+
+
+def test_an_edge_that_applied_its_own_list_is_told_the_whole_next_and_none_older():
+    world = World()
+    world.run(2.0)
+    held = world.asker.upstreams
+    world.silent.update(SEEDS)
+    world.run(4.0)
+    world.known["list"] = {}
+    world.asker.departed(world.now)
+    moved = ListMoved(held[0], held[1] - 1, 0.5)
+    assert not world.asker.newer_list(world.now, moved)
+    world.silent.clear()
+    world.run(2.0)
+    assert set(world.known["list"]) == {"a", "b"} and world.asker.upstreams == held
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_where_its_word_is_old_others_are_asked_and_the_fresher_one_kept(seed):
+    world = World(seed)
+    world.way = dict(zip(SEEDS, (0.001, 0.035, 0.036), strict=True))
+    world.change(3)
+    world.run(5.0)
+    world.old.add(SEEDS[0])
+    world.run(0.5)
+    world.change(4)
+    world.run(3.0)
+    assert world.known["configuration"] == state(4)["configuration"]
+    assert world.asker.main.address != SEEDS[0]
+    world.run(3.0)
+    assert world.asker.main.address != SEEDS[0]
+    world.old.clear()
+    world.run(40.0)
+    assert world.asker.main.address == SEEDS[0]
+
+
+def test_all_old_are_asked_in_turn_but_not_all_the_time():
+    world = World()
+    world.change(3)
+    world.run(3.0)
+    world.old.update(SEEDS)
+    world.run(5.0)
+    world.asked.clear()
+    world.run(10.0)
+    assert {address for _, address, _ in world.asked} == set(SEEDS)
+    assert len(world.asked) < 35
+
+
+def test_a_changed_state_is_told_at_once_and_the_replaced_ask_costs_nothing():
+    for numbered in (True, False):
+        world = World(numbered=numbered)
+        world.run(5.5)
+        main = world.asker.main
+        world.asker.changed(world.now, msgspec.structs.replace(EDGE, state=READY))
+        world.asker.changed(world.now, msgspec.structs.replace(EDGE, state=READY))
+        world.carry_out()
+        assert sum(at == world.now for at, _, _ in world.asked) == 1
+        world.run(0.02)
+        seen, = world.hubs[main.address].edges(world.now)
+        assert seen.ready
+        for step in range(30):
+            world.run(0.1 * (step % 4))
+            world.asker.changed(world.now, msgspec.structs.replace(EDGE, state=READY, in_flight=step))
+            world.carry_out()
+        world.run(5.0)
+        assert world.asker.main is main and main.failures == 0 and world.asker.lost(world.now) < 1.1
+
+
+def test_an_edge_that_leaves_tells_two():
+    world = World()
+    world.run(5.0)
+    world.silent.add(world.asker.main.address)
+    world.asker.changed(world.now, msgspec.structs.replace(EDGE, state=LEAVING))
+    world.carry_out()
+    world.run(0.1)
+    assert any(heard.edge.state == LEAVING for hub in world.hubs.values()
+               for heard in hub.own_edges(world.now).edges)
+
+
+def test_members_named_by_answers_are_asked_and_dead_seeds_no_more():
+    world = World(seeds=("10.9.0.1:7300", "10.9.0.2:7300", SEEDS[0]))
+    world.run(10.0)
+    assert {member.address for member in world.asker.members.values() if member.named} == set(SEEDS)
+    world.asked.clear()
+    world.run(40.0)
+    assert not any(address.startswith("10.9") for _, address, _ in world.asked)
+    world.refusing.update(SEEDS)
+    world.run(5.0)
+    assert any(address.startswith("10.9") for _, address, _ in world.asked)
+
+
+def test_an_answer_that_can_not_be_read_is_the_members_failure():
+    world = World()
+    world.run(5.0)
+    broken = Told(ControlChange(9, 9, 9, b"junk", (), True), None, 1, SEEDS, 0.0, 0.0)
+    world.asker.answered(world.now, world.asker.main.address, broken)
+    assert world.asker.control == (0, 0) and not world.asker.updates
+
+
+def test_older_answers_and_answers_to_older_asks_change_nothing():
+    world = World()
+    world.change(3)
+    world.change(3, "south-a")
+    world.run(5.0)
+    asker, address = world.asker, world.asker.main.address
+    assert asker.control == (1, 2) and asker.version == 3
+    for change in (ControlChange(1, 1, 2, b"old"), ControlChange(1, 2, 3, b"same"),
+                   ControlChange(0, 9, 9, b"old"), ControlChange(1, 3, 4, None)):
+        asker.answered(world.now, address, Told(change, None, 1, SEEDS, 0.0, 0.0, 1.0))
+    assert asker.control == (1, 2) and asker.version == 3
+    term, number = asker.upstreams
+    for moved in (ListMoved(term, number - 1, 0.0), ListMoved(term, number + 9, 0.0, term, number + 8),
+                  ListMoved(term, number, 0.0)):
+        asker.answered(world.now, address, Told(None, moved, 1, SEEDS, 0.0, 0.0, 1.0))
+    assert asker.upstreams == (term, number) and not [
+        update for update in asker.updates if not isinstance(update, Counts)]
+
+
+def test_a_fleet_whose_poller_began_anew_is_heard_again():
+    world = World()
+    world.polls.lead(7)
+    world.run(3.0)
+    assert world.asker.upstreams[0] == 7
+    for address, hub in world.hubs.items():
+        world.lists[address] = InstanceList(lambda: world.now)
+        hub.list = None
+    world.polls = InstanceList(lambda: world.now)
+    world.polls.lead(1)
+    world.names = ["z"]
+    world.run(6.0)
+    assert set(world.known["list"]) == {"z"} and world.asker.list_age(world.now) < 1.5
+
+
+def test_no_members_at_all_and_one_only():
+    assert Asker(EDGE, (), Random(1), 0.0).wake_at() > 1e9
+    world = World(seeds=SEEDS[:1])
+    world.change(3)
+    world.run(0.1)
+    assert "configuration" in world.known
+    assert Asker(EDGE, SEEDS, Random(1), 0.0).list_age(5.0) == NEVER
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_any_troubles_end_in_the_newest_soon_after_them(seed):
+    world = World(seed, way=0.02, numbered=seed % 2 == 0)
+    chance, version = Random(seed), 0
+    for _ in range(60):
+        world.run(chance.uniform(0.0, 1.5))
+        what, who = chance.randrange(8), chance.choice(SEEDS)
+        if what < 3:
+            version += 1
+            world.change(version // 2 + 1, *chance.sample(["x", "y", "z"], chance.randrange(3)))
+        elif what == 3:
+            world.names = chance.sample("abcdef", 3)
+        elif what == 4:
+            world.silent.symmetric_difference_update({who})
+        elif what == 5:
+            world.refusing.symmetric_difference_update({who})
+        elif what == 6 and len(world.old | {who}) < 3:
+            world.old.symmetric_difference_update({who})
+        else:
+            world.way[who] = chance.choice([0.001, 0.03, 0.07])
+    world.silent.clear()
+    world.refusing.clear()
+    missed, world.old = world.old, set()
+    world.change(version // 2 + 2, "end")
+    for address in missed:
+        assert world.hubs[address].held == (world.epoch, world.sequence)
+    world.run(2.5)
+    assert world.known["configuration"] == state(version // 2 + 2)["configuration"]
+    assert world.known["evacuations"] == ("end",) and set(world.known["list"]) == set(world.names)
+    assert len(world.asked) / (world.now - 100.0) < 8
