--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -3,6 +3,7 @@
 import gc
 import signal
 from random import Random
+from time import time
 
 import msgspec
 
@@ -19,6 +20,7 @@
 from shedgrade.controlplane.platform import InstanceList, Poller
 from shedgrade.httpd import HttpServer
 from shedgrade.knowledge import Ask, AskList, EdgesKnown, ListMoved
+from shedgrade.link.address import split
 from shedgrade.link.tcp import Links, LinkServer
 from shedgrade.log import logger
 from shedgrade.replication import Answer, Finished, Left, Member, Persist, Send, messages
@@ -57,8 +59,10 @@
         self.ordering = Ordering(loop, self.member, self.links, self.pump)
         self.instances = InstanceList(loop.time)
         self.poller = Poller(loop, settings.cloud_api, self.instances, self.polled, random=random)
-        self.duties = duty.Duties(own, self.member_addresses, random, now, duties=(LIST,))
-        self.hub = Hub(own, now)
+        self.duties = duty.Duties(own, self.member_addresses, random, now, duties=(LIST,),
+                                  floor=int(time() * 10))
+        self.hub = Hub(now, exchange=SPREAD)
+        self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
         self.operators = Operators(self.ordering)
         self.directory = Directory(settings.zones, random, settings.bounds)
         self.http: list[HttpServer] = []
@@ -111,7 +115,7 @@
             self.hub.primary_heard(now)
         elif member.primary is not None:
             self.hub.primary_heard(member.heard_at)
-        self.hub.members(now, self.member_addresses())
+        self.hub.members = self.member_addresses()
         if self.duties.held(LIST) and self.poller.failed >= AGED:
             self.duties.vacate(now, LIST)
         if now >= self.spread_at:
@@ -205,10 +209,26 @@
 
     def heard(self, peer, frame) -> None:
         """A frame on a connection that came in; its answer goes back on it."""
+        if frame.body[:1] == KNOWLEDGE and frame.number:
+            self.follow(peer, frame.sender)
         self.take(frame.sender, frame.body,
                   lambda body: peer.send(body, frame.number, True) if frame.number else
                   self.links.send(frame.sender, body))
 
+    def follow(self, peer, sender: str) -> None:
+        """Guards against clients sent to an edge that died: its connection ends before its word is due."""
+        if self.edge_peers.get(sender) is not peer:
+            self.edge_peers[sender] = peer
+            peer.on_close.append(lambda: self.lost(peer, sender))
+
+    def lost(self, peer, sender: str) -> None:
+        if self.edge_peers.get(sender) is peer:
+            del self.edge_peers[sender]
+            host = split(sender)[0]
+            for name, heard in list(self.hub.heard.items()):
+                if heard.own and split(heard.edge.front)[0] == host:
+                    self.hub.gone(name)
+
     def came_back(self, sender: str, frame) -> None:
         self.take(sender, frame.body, lambda body: self.links.send(sender, body))
 
@@ -233,9 +253,9 @@
     def learn(self, now: float, sender: str, message: object, answer) -> None:
         match message:
             case Ask():
-                before = self.hub.own_version
+                known = self.hub.heard.get(message.edge.name)
                 self.hub.ask(now, message, lambda told: answer(KNOWLEDGE + knowledge.encode(told)))
-                if self.hub.own_version != before:
+                if known is None or known.edge.state != message.edge.state:
                     self.spread_edges(now)
             case EdgesKnown():
                 self.hub.peers_edges(now, sender, message)
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -191,7 +191,7 @@
         except (LinkError, msgspec.MsgspecError, ValueError):
             told = None
         if isinstance(told, Told):
-            self.asker.answered(self.loop.time(), effect.address, told)
+            self.asker.answered(self.loop.time(), effect.address, told, effect.number)
         else:
-            self.asker.failed(self.loop.time(), effect.address)
+            self.asker.failed(self.loop.time(), effect.address, effect.number)
         self.ask()
--- a/tests/dataplane/ingress_rig.py
+++ b/tests/dataplane/ingress_rig.py
@@ -104,7 +104,8 @@
 
 def route(**more):
     told = {"host": "rota.example", "path_prefix": "/a/", "name": "r", "route_class": "streaming",
-            "timeout_ms": 4000, "target_ms": 800, "priority": 1, "service": "lm", "max_attempts": 2, "session_affinity": True}
+            "timeout_ms": 4000, "target_ms": 800, "priority": 1, "service": "lm", "max_attempts": 2,
+            "session_affinity": True}
     return Route(**{**told, **more})
 
 
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -318,7 +318,8 @@
         async with sidecar(configuration(route(route_class="safe")), upstream) as plane:
             client = await Client().open(plane)
             client.send(b"POST /a/1 HTTP/1.1\r\nHost: rota.example\r\nAttempt-Id: x\r\n"
-                        b"Time-Remaining: 3000\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"ab") + chunk(b"cd") + LAST)
+                        b"Time-Remaining: 3000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + chunk(b"ab") + chunk(b"cd") + LAST)
             assert await client.head() == 200
             await client.body()
             _, body = await answered(plane, request(name="y", body=b"z" * 110_000))
