--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -61,7 +61,7 @@
         self.poller = Poller(loop, settings.cloud_api, self.instances, self.polled, random=random)
         self.duties = duty.Duties(own, self.member_addresses, random, now, duties=(LIST,),
                                   floor=int(time() * 10))
-        self.hub = Hub(now, exchange=SPREAD)
+        self.hub = Hub(own, now, exchange=SPREAD)
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
         self.operators = Operators(self.ordering)
         self.directory = Directory(settings.zones, random, settings.bounds)
@@ -115,7 +115,7 @@
             self.hub.primary_heard(now)
         elif member.primary is not None:
             self.hub.primary_heard(member.heard_at)
-        self.hub.members = self.member_addresses()
+        self.hub.members(now, self.member_addresses())
         if self.duties.held(LIST) and self.poller.failed >= AGED:
             self.duties.vacate(now, LIST)
         if now >= self.spread_at:
@@ -253,9 +253,9 @@
     def learn(self, now: float, sender: str, message: object, answer) -> None:
         match message:
             case Ask():
-                known = self.hub.heard.get(message.edge.name)
+                before = self.hub.own_version
                 self.hub.ask(now, message, lambda told: answer(KNOWLEDGE + knowledge.encode(told)))
-                if known is None or known.edge.state != message.edge.state:
+                if self.hub.own_version != before:
                     self.spread_edges(now)
             case EdgesKnown():
                 self.hub.peers_edges(now, sender, message)
