--- a/shedgrade/controlplane/operators.py
+++ b/shedgrade/controlplane/operators.py
@@ -1,6 +1,4 @@
 """The operators' calls: configuration and evacuations, by a tree of matchers."""
-from expression import Error
-
 from shedgrade.controlplane.configuration import read
 from shedgrade.controlplane.orders import Evacuate, Order, PutConfiguration, Return
 from shedgrade.findings import Finding
@@ -43,7 +41,7 @@
     def put(self, request: Request, tell: Tell) -> None:
         base = request.headers.get(b"if-match", b"").strip(b'" ')
         checked = read(request.body)
-        if isinstance(checked, Error) or checked.is_error():
+        if checked.is_error():
             tell(failure(400, *checked.error))
             return
         self.order(PutConfiguration(int(base) if base.isdigit() else None, checked.ok.version, request.body), tell)
--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -18,6 +18,7 @@
 from shedgrade.controlplane.ordering import Ordering
 from shedgrade.controlplane.orders import make_decide
 from shedgrade.controlplane.platform import InstanceList, Poller
+from shedgrade.faults import fault
 from shedgrade.httpd import HttpServer
 from shedgrade.knowledge import Ask, AskList, EdgesKnown, ListMoved
 from shedgrade.link.address import split
@@ -32,7 +33,8 @@
 LEAVES = 0.2            # s for what was said last to leave
 AGED = 3                # beats without a list from the platform after which its holder gives the duty up
 
-encode_replication = msgspec.msgpack.Encoder().encode
+encode = msgspec.msgpack.Encoder().encode
+decode_duties = msgspec.msgpack.Decoder(duty.Message).decode
 decode_replication = msgspec.msgpack.Decoder(messages.Message).decode
 
 
@@ -76,6 +78,7 @@
     # --- from start to end
 
     async def serve(self) -> None:
+        self.loop.set_exception_handler(fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
@@ -166,7 +169,7 @@
     def carry_out(self, effect: object) -> None:
         match effect:
             case Send(to, message):
-                self.links.send(to, REPLICATION + encode_replication(message))
+                self.links.send(to, REPLICATION + encode(message))
             case Persist(token, changes):
                 self.disk.write(token, changes)
             case Answer(ticket, outcome):
@@ -179,7 +182,7 @@
     def carry_out_duty(self, effect: object) -> None:
         match effect:
             case duty.Send(address, message):
-                self.links.send(address, DUTIES + duty.encode(message))
+                self.links.send(address, DUTIES + encode(message))
             case duty.Won(_, term):
                 logger.info("polls the platform's list, term {}", term)
                 self.poller.start(term)
@@ -200,10 +203,14 @@
     def alarm(self) -> None:
         self.timer = None
         now = self.loop.time()
-        self.member.tick(now)
-        self.duties.tick(now)
-        self.hub.tick(now)
-        self.pump()
+        try:
+            self.member.tick(now)
+            self.duties.tick(now)
+            self.hub.tick(now)
+            self.pump()
+        finally:
+            if self.timer is None:      # a fault of our own must not stop the clock of all the rest
+                self.set_timer()
 
     # --- what comes over the link
 
@@ -239,7 +246,7 @@
             if channel == REPLICATION:
                 self.member.receive(now, sender, decode_replication(body))
             elif channel == DUTIES:
-                self.duties.receive(now, sender, duty.decode(body))
+                self.duties.receive(now, sender, decode_duties(body))
             elif channel == KNOWLEDGE:
                 self.learn(now, sender, knowledge.decode(body), answer)
             elif channel == ORDERS:
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -14,6 +14,7 @@
 from shedgrade.dataplane.ingress import IngressConnection
 from shedgrade.dataplane.service import ServicePool
 from shedgrade.dataplane.state import State
+from shedgrade.faults import fault
 from shedgrade.httpd import HttpServer, Reply
 from shedgrade.knowledge import LEAVING, READY, STARTING, EdgeState, Told
 from shedgrade.link.address import join
@@ -81,6 +82,7 @@
     # --- from start to end
 
     async def serve(self) -> None:
+        self.loop.set_exception_handler(fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
--- a/shedgrade/replication/member.py
+++ b/shedgrade/replication/member.py
@@ -70,7 +70,7 @@
         self.saving = Saving(self.effects, timing.disk_patience, timing.disk_retry)
         founding = founding and address in self.seeds
         self.held = Held(found, self.saving, self.effects, self.seeds, founding, random)
-        self.lead, self.ballot, self.voting = Primary(self), Ballot(self), Voting(self)
+        self.lead, self.ballot, self.voting = self.make_parts()
         self.joining, self.waiting = Joining(self), Waiting(self)
         self.highest = max(self.held.promise[0], self.held.record.number)
         self.promised = self.held.promise[0]
@@ -91,6 +91,9 @@
         else:
             self.on_born(now)
 
+    def make_parts(self) -> tuple[Primary, Ballot, Voting]:
+        return Primary(self), Ballot(self), Voting(self)
+
     def on_born(self, now: float) -> None:
         """The incarnation is synced: this process may speak."""
         self.born, self.born_at, self.heard_at = True, now, now
--- a/shedgrade/replication/primary.py
+++ b/shedgrade/replication/primary.py
@@ -50,6 +50,7 @@
         self.round = self.confirmed = 0
         self.beat_at = self.majority_at = self.began = 0.0
         self.acting = False
+        self.latest: dict[str, int] = {}        # address -> the incarnation that spoke last from there
         self.own_durable = -1
 
     # --- begin and end
@@ -93,6 +94,7 @@
         """Another decides now. What was written may be finished by it: the answers are unclear."""
         self.active = False
         self.open.clear()
+        self.followers = {}
         pending, self.pending = self.pending, deque()
         for each in pending:
             self.member.waiting.add(now, each.ticket, None, shipped=not each.read, read=each.read)
@@ -112,7 +114,8 @@
 
     def next_round(self, now: float) -> int:
         self.round += 1
-        self.beat(now, holders_only=True)
+        for incarnation in self.holders:
+            self.heartbeat(self.followers[incarnation], self.round)
         return self.round
 
     def advance_queue(self, now: float) -> None:
@@ -165,7 +168,7 @@
             moved = True
         if moved:
             self.settle(now)
-            self.beat(now)
+            self.tell(now)
             self.advance_queue(now)
 
     def settle(self, now: float) -> None:
@@ -181,22 +184,33 @@
 
     # --- others
 
-    def beat(self, now: float, holders_only: bool = False) -> None:
+    def beat(self, now: float) -> None:
         """A heartbeat to all, and what is finished to who lacks it."""
         held = self.member.held
-        if not holders_only:
-            self.beat_at = now + self.member.timing.heartbeat
+        self.beat_at = now + self.member.timing.heartbeat
         for incarnation, follower in list(self.followers.items()):
             if now - follower.heard > 8 * self.member.timing.hello and not held.names(incarnation):
                 del self.followers[incarnation]   # a guest that is gone
                 continue
-            if holders_only and incarnation not in self.holders:
-                continue
-            record = None if follower.record == self.epoch else held.record
-            self.member.send(follower.address, Heartbeat(self.epoch, self.round, held.finished[:2], record))
+            if self.latest.get(follower.address, incarnation) != incarnation:
+                continue   # its disk was lost: another incarnation is there
+            self.heartbeat(follower, self.round)
             if incarnation not in self.holders:
                 self.teach(now, follower)
 
+    def heartbeat(self, follower: Follower, round_: int) -> None:
+        held = self.member.held
+        record = None if follower.record == self.epoch else held.record
+        self.member.send(follower.address, Heartbeat(self.epoch, round_, held.finished[:2], record))
+
+    def tell(self, now: float) -> None:
+        """What has just been finished."""
+        for incarnation, follower in self.followers.items():
+            if incarnation in self.holders:
+                self.heartbeat(follower, 0)
+            elif self.latest.get(follower.address, incarnation) == incarnation:
+                self.teach(now, follower)
+
     def teach(self, now: float, follower: Follower) -> None:
         """Finished state to a follower that holds none; to a silent one nothing but heartbeats."""
         held, timing = self.member.held, self.member.timing
@@ -220,6 +234,7 @@
         if follower is None:
             follower = self.followers[ack.incarnation] = Follower(ack.incarnation, ack.name, sender, now)
         follower.heard, follower.address = now, sender
+        self.latest[sender] = ack.incarnation
         follower.record = max(follower.record, ack.record)
         follower.finished = max(follower.finished, ack.finished)
         follower.healthy, follower.leaving = ack.healthy, ack.leaving
@@ -243,6 +258,7 @@
         if follower is None:
             follower = self.followers[who] = Follower(who, hello.name, hello.address, now)
         follower.address, follower.finished = hello.address, max(follower.finished, hello.finished)
+        self.latest[hello.address] = who
         if hello.incarnation not in self.holders:
             follower.heard = now
         self.member.send(hello.address, Heartbeat(self.epoch, self.round, self.member.held.finished[:2],
@@ -329,4 +345,6 @@
             follower = self.followers[incarnation]
             if follower.received < follower.sent_to and follower.resend_at > now:
                 wake = min(wake, follower.resend_at)
+            silent = follower.heard + self.member.timing.silent
+            wake = min(wake, silent) if silent > now else wake
         return wake
--- a/shedgrade/replication/voting.py
+++ b/shedgrade/replication/voting.py
@@ -99,7 +99,8 @@
     def heartbeat(self, now: float, sender: str, beat: Heartbeat) -> None:
         if self.follow(now, sender, beat.epoch, beat.record):
             self.finish(beat.epoch, beat.finished)
-            self.ack(now, sender, beat.epoch, beat.round)
+            if beat.round:
+                self.ack(now, sender, beat.epoch, beat.round)
 
     def replicate(self, now: float, sender: str, write: Replicate) -> None:
         if not self.follow(now, sender, write.epoch, None):
--- a/shedgrade/simulation/nemesis.py
+++ b/shedgrade/simulation/nemesis.py
@@ -53,8 +53,7 @@
         """All troubles end; every machine is up."""
         self.stopped = True
         now = self.clock.now
-        undo, self.undo = self.undo, []
-        for call in undo:
+        for call in list(self.undo):
             call()
         for machine in self.world.machines:
             machine.start()
