Shuffles of a small system carry digests in place of descriptors

While a view has room all nodes know all, and whole descriptors said every period what the other side knew; bytes between regions are priced.

--- a/shedgrade/membership/messages.py
+++ b/shedgrade/membership/messages.py
@@ -36,11 +36,19 @@
     fate: str
 
 
+class Digest(msgspec.Struct, array_like=True, frozen=True):
+    """A node that the other side knows, most likely: a tenth of its descriptor. `mark`: of its name."""
+    mark: int
+    incarnation: Incarnation
+    age: int
+
+
 class Shuffle(msgspec.Struct, array_like=True, frozen=True, tag="shuffle"):
     number: int
     sender: Descriptor
     entries: list[Descriptor]
     rumours: list[Rumour]
+    digests: list[Digest] = []
 
 
 class Shuffled(msgspec.Struct, array_like=True, frozen=True, tag="shuffled"):
@@ -49,6 +57,7 @@
     sender: Descriptor
     entries: list[Descriptor]
     rumours: list[Rumour]
+    digests: list[Digest] = []
 
 
 class Ping(msgspec.Struct, array_like=True, frozen=True, tag="ping"):
@@ -80,7 +89,12 @@
     rumours: list[Rumour]
 
 
-Message = Shuffle | Shuffled | Ping | Pong | Inquiry | Finding | Notice
+class Query(msgspec.Struct, array_like=True, frozen=True, tag="query"):
+    """Asks for the descriptors of marks in a digest; a notice answers."""
+    marks: list[int]
+
+
+Message = Query | Shuffle | Shuffled | Ping | Pong | Inquiry | Finding | Notice
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/shedgrade/membership/table.py
+++ b/shedgrade/membership/table.py
@@ -3,33 +3,40 @@
 Suspicion and incarnations as in SWIM (Das, Gupta, Motivala, 2002). Times are seconds of the caller's clock.
 """
 from random import Random
+from zlib import crc32
 
 import msgspec
 
 from shedgrade.link.address import split
-from shedgrade.membership.messages import LONGEST, Descriptor, Node, Rumour, Shuffle, encode
+from shedgrade.membership.messages import LONGEST, Descriptor, Digest, Node, Rumour, Shuffle, encode
 
 SUSPICION = 2.0         # s that a suspected node has to refute
 ALONE = 5               # times as long, while nobody at all is heard
 REMEMBERED = 90.0       # s that a node is known to have been dropped or have left
 MOST_GONE = 256
+NEW = 10.0              # s that a descriptor is passed on whole, though the view has room
 RUMOUR_SENDS = 8        # messages that carry a rumour
 RUMOURS = 6             # in one message
 SUSPECTED, DROPPED, LEFT = "suspected", "dropped", "left"
 
 
 class Entry:
-    """A neighbour. `heard`: when it was last known to be alive; `drop_at`: set while it is suspected."""
+    """A neighbour. `heard`: when it was last known to be alive; `since`: when its descriptor was learnt;
+    `drop_at`: set while it is suspected."""
 
-    __slots__ = ("node", "incarnation", "heard", "drop_at")
+    __slots__ = ("node", "mark", "incarnation", "heard", "since", "drop_at")
 
-    def __init__(self, node: Node, incarnation: int, heard: float) -> None:
-        self.node, self.incarnation, self.heard = node, incarnation, heard
+    def __init__(self, node: Node, incarnation: int, heard: float, now: float) -> None:
+        self.node, self.incarnation, self.heard, self.since = node, incarnation, heard, now
+        self.mark = mark(node.name)
         self.drop_at: float | None = None
 
     def descriptor(self, now: float) -> Descriptor:
         return Descriptor(self.node, self.incarnation, max(0, int((now - self.heard) * 1000)))
 
+    def digest(self, now: float) -> Digest:
+        return Digest(self.mark, self.incarnation, max(0, int((now - self.heard) * 1000)))
+
 
 class Gone:
     """One that was dropped or has left, in an incarnation: only a higher one of it is believed."""
@@ -86,10 +93,10 @@
         if entry is None:
             if self.make_room(room):
                 self.gone.pop(node.name, None)
-                self.entries[node.name] = Entry(node, found.incarnation, heard)
+                self.entries[node.name] = Entry(node, found.incarnation, heard, now)
         elif found.incarnation > entry.incarnation:
             entry.node, entry.incarnation, entry.heard = node, found.incarnation, heard
-            entry.drop_at = None
+            entry.since, entry.drop_at = now, None
             self.rumours.pop(node.name, None)
         elif found.incarnation == entry.incarnation:
             entry.heard = max(entry.heard, heard)
@@ -186,9 +193,35 @@
             return [], rumours
         return [entry.descriptor(now)], rumours
 
-    def some(self, now: float, most: int, but: str) -> list[Descriptor]:
+    def some(self, now: float, most: int, but: str) -> tuple[list[Descriptor], list[Digest]]:
+        """Entries to pass on. While the view has room all know all, most likely: digests do for old ones."""
         entries = [entry for name, entry in self.entries.items() if name != but and entry.drop_at is None]
-        return [entry.descriptor(now) for entry in self.random.sample(entries, min(most, len(entries)))]
+        entries = self.random.sample(entries, min(most, len(entries)))
+        old = [entry for entry in entries if now >= entry.since + NEW and len(self.entries) < self.size]
+        return ([entry.descriptor(now) for entry in entries if entry not in old],
+                [entry.digest(now) for entry in old])
+
+    def compare(self, now: float, digests: list[Digest]) -> list[int]:
+        """Takes the ages of digests in; returns the marks of which more is to be learnt."""
+        entries = {entry.mark: entry for entry in self.entries.values()}
+        gone = {mark(name): gone.incarnation for name, gone in self.gone.items()}
+        wanted = []
+        for digest in digests:
+            entry = entries.get(digest.mark)
+            if entry is not None and entry.incarnation == digest.incarnation:
+                entry.heard = max(entry.heard, now - max(0, digest.age) / 1000)
+            elif digest.mark != mark(self.me.name) and digest.incarnation > (
+                    entry.incarnation if entry is not None else gone.get(digest.mark, -2)):
+                wanted.append(digest.mark)
+        return wanted
+
+    def marked(self, now: float, marks: list[int]) -> list[Descriptor]:
+        return [entry.descriptor(now) for entry in self.entries.values()
+                if entry.mark in marks and entry.drop_at is None]
+
+
+def mark(name: str) -> int:
+    return crc32(name.encode())
 
 
 def addressable(address: str) -> bool:
--- a/shedgrade/membership/view.py
+++ b/shedgrade/membership/view.py
@@ -4,8 +4,9 @@
 not heard of. A neighbour that doesn't answer is asked about through two others, then suspected, and dropped
 unless it refutes; what becomes of nodes travels with shuffles (SWIM: Das, Gupta, Motivala, 2002).
 
-Departures from Cyclon: while the view has room nothing is removed from it, so a small system is known whole;
-and dropped nodes are pinged for a while, so that a healed partition joins again.
+Departures from Cyclon: while the view has room nothing is removed from it, so a small system is known whole,
+and digests take the place of descriptors (what a digest names and isn't known is asked for); and dropped nodes
+are pinged for a while, so that a healed partition joins again.
 """
 from collections.abc import Iterable
 from random import Random
@@ -17,6 +18,7 @@
 from shedgrade.membership.messages import (
     LONGEST,
     Descriptor,
+    Digest,
     Finding,
     Inquiry,
     Message,
@@ -24,6 +26,7 @@
     Notice,
     Ping,
     Pong,
+    Query,
     Rumour,
     Shuffle,
     Shuffled,
@@ -112,7 +115,8 @@
                 continue
             self.contacts.setdefault(node.address, float("-inf"))
             if node.name and node.name not in table.gone and len(table.entries) < table.size:
-                table.entries.setdefault(node.name, Entry(node, -1, table.heard - self.period))
+                table.entries.setdefault(node.name, Entry(node, -1, table.heard - self.period,
+                                                            table.heard))
 
     def update(self, me: Node) -> None:
         """The own node changed, not its name or address: a new incarnation. ValueError: too long."""
@@ -176,8 +180,7 @@
         else:
             return
         self.number += 1
-        entries = self.table.some(now, self.length - 1, name)
-        sent = self.exchange(address, Shuffle, self.number, entries, [])
+        sent = self.exchange(address, Shuffle, self.number, self.table.some(now, self.length - 1, name), [])
         self.pending[self.number] = Pending(name, address, incarnation, sent, now)
 
     def ping_lost(self, now: float) -> None:
@@ -234,7 +237,7 @@
             case Shuffle():
                 self.shuffled(now, sender, message)
             case Shuffled():
-                self.answered(now, message)
+                self.answered(now, sender, message)
             case Ping():
                 self.pinged(now, sender, message)
             case Pong():
@@ -247,27 +250,29 @@
                 self.contradict(now, message.found.node.address, message.found)
             case Notice():
                 self.noticed(now, sender, message)
+            case Query():
+                self.tell(sender, self.table.marked(now, message.marks[:self.length]))
 
     def shuffled(self, now: float, sender: str, message: Shuffle) -> None:
         name = message.sender.node.name
         self.hear(now, message.rumours)
-        entries = self.table.some(now, self.length, name)
-        room = self.exchange(sender, Shuffled, message.number, entries, self.table.about(name))
-        self.take_in(now, message, room)
+        some = self.table.some(now, self.length, name)
+        room = self.exchange(sender, Shuffled, message.number, some, self.table.about(name))
+        self.take_in(now, sender, message, room)
         self.contradict(now, sender, message.sender)
 
-    def answered(self, now: float, message: Shuffled) -> None:
+    def answered(self, now: float, sender: str, message: Shuffled) -> None:
         self.hear(now, message.rumours)
         pending = self.pending.pop(message.number, None)
         if pending is None:     # late, or a stranger's: worth knowing, but no entry gives way to it
-            self.take_in(now, message, [])
+            self.take_in(now, sender, message, [])
             return
         entry = self.table.entries.get(pending.name)
         if entry is not None and message.sender.node.name != pending.name:
             self.table.drop(now, entry, "dropped")      # another process has its address now
-        self.take_in(now, message, [pending.name, *pending.sent])
+        self.take_in(now, sender, message, [pending.name, *pending.sent])
 
-    def take_in(self, now: float, message: Shuffle | Shuffled, room: list[str]) -> None:
+    def take_in(self, now: float, sender: str, message: Shuffle | Shuffled, room: list[str]) -> None:
         table, found = self.table, [message.sender, *message.entries[:self.length]]
         for descriptor in found:
             table.learn(now, descriptor, room)
@@ -275,6 +280,9 @@
                 self.contacts[descriptor.node.address] = now
         self.census.sample(now, [(each.node.name, each.node.kind) for each in found
                                  if each.node.name != table.me.name and each.node.name not in table.gone])
+        wanted = table.compare(now, message.digests[:self.length])
+        if wanted:
+            self.send(sender, Query(wanted))
 
     def pinged(self, now: float, sender: str, message: Ping) -> None:
         self.hear(now, message.rumours)
@@ -333,11 +341,19 @@
         self.send(address, Ping(self.number, self.table.own(), rumours))
         return self.number
 
-    def exchange(self, address: str, kind: type, number: int, entries: list[Descriptor],
+    def tell(self, address: str, entries: list[Descriptor]) -> None:
+        while entries:
+            fit = len(entries)
+            while fit > 1 and len(encode(Notice(entries[:fit], []))) > LONGEST:
+                fit -= 1
+            self.send(address, Notice(entries[:fit], []))
+            entries = entries[fit:]
+
+    def exchange(self, address: str, kind: type, number: int, some: tuple[list[Descriptor], list[Digest]],
                  rumours: list[Rumour]) -> list[str]:
-        """Sends a shuffle or its answer with what fits a datagram; the names of the entries that went."""
-        rumours = rumours + self.table.news()
-        while len(body := encode(kind(number, self.table.own(), entries, rumours))) > LONGEST:
+        """Sends a shuffle or its answer with what fits a datagram; the names of the descriptors that went."""
+        (entries, digests), rumours = some, rumours + self.table.news()
+        while len(body := encode(kind(number, self.table.own(), entries, rumours, digests))) > LONGEST:
             entries, rumours = (entries[:-1], rumours) if entries else (entries, rumours[:-1])
         self.table.told(rumours)
         self.effects.append(Send(address, body))
