Views: one that came back is met by all, whatever was told of its earlier life

Seeds of a nemesis showed two nodes apart for a minute: a rumour of an earlier life had raised a neighbour's incarnation above the node's own, and one with a tombstone was never met. A higher incarnation is contradicted to its node now, an answer counts as heard, and one heard after its end is pinged.

--- a/shedgrade/membership/table.py
+++ b/shedgrade/membership/table.py
@@ -14,6 +14,7 @@
 ALONE = 5               # times as long, while nobody at all is heard
 REMEMBERED = 90.0       # s that a node is known to have been dropped or have left
 MOST_GONE = 256
+AFTER = 1.0             # s after its end at which one must have been heard to be back: ages lag by hops
 NEW = 10.0              # s that a descriptor is passed on whole, though the view has room
 RUMOUR_SENDS = 8        # messages that carry a rumour
 RUMOURS = 6             # in one message
@@ -81,7 +82,8 @@
         None: any may."""
         node = found.node
         if node.name == self.me.name:
-            if node != self.me:     # an earlier life, or a state that is past
+            # An earlier life, a state that is past, or a rumour of an earlier life put on this one.
+            if node != self.me or found.incarnation > self.incarnation:
                 self.refute(found.incarnation)
             return
         if not node.name or node.address == self.me.address or not addressable(node.address):
@@ -189,7 +191,9 @@
         """What is believed of one that says otherwise of itself in an incarnation that isn't above it."""
         rumours = [each for each in self.about(said.node.name) if each.incarnation >= said.incarnation]
         entry = self.entries.get(said.node.name)
-        if entry is None or entry.node == said.node or entry.incarnation < said.incarnation:
+        if entry is None or entry.incarnation < said.incarnation:
+            return [], rumours
+        if entry.incarnation == said.incarnation and entry.node == said.node:
             return [], rumours
         return [entry.descriptor(now)], rumours
 
@@ -204,17 +208,28 @@
     def compare(self, now: float, digests: list[Digest]) -> list[int]:
         """Takes the ages of digests in; returns the marks of which more is to be learnt."""
         entries = {entry.mark: entry for entry in self.entries.values()}
-        gone = {mark(name): gone.incarnation for name, gone in self.gone.items()}
+        gone = {mark(name): gone for name, gone in self.gone.items()}
         wanted = []
         for digest in digests:
-            entry = entries.get(digest.mark)
+            heard = now - max(0, digest.age) / 1000
+            entry, buried = entries.get(digest.mark), gone.get(digest.mark)
             if entry is not None and entry.incarnation == digest.incarnation:
-                entry.heard = max(entry.heard, now - max(0, digest.age) / 1000)
-            elif digest.mark != mark(self.me.name) and digest.incarnation > (
-                    entry.incarnation if entry is not None else gone.get(digest.mark, -2)):
+                entry.heard = max(entry.heard, heard)
+            elif entry is not None:
+                if digest.incarnation > entry.incarnation:
+                    wanted.append(digest.mark)
+            elif digest.mark != mark(self.me.name) and (
+                    buried is None or digest.incarnation > buried.incarnation or heard > buried.at + AFTER):
                 wanted.append(digest.mark)
         return wanted
 
+    def returned(self, now: float, found: Descriptor) -> bool:
+        """One that is gone here was heard since, in an incarnation that can't be believed: it may be back."""
+        gone = self.gone.get(found.node.name)
+        return (gone is not None and found.node.name not in self.entries
+                and found.incarnation <= gone.incarnation and now - max(0, found.age) / 1000 > gone.at + AFTER
+                and addressable(found.node.address))
+
     def marked(self, now: float, marks: list[int]) -> list[Descriptor]:
         return [entry.descriptor(now) for entry in self.entries.values()
                 if entry.mark in marks and entry.drop_at is None]
--- a/shedgrade/membership/view.py
+++ b/shedgrade/membership/view.py
@@ -4,9 +4,9 @@
 not heard of. A neighbour that doesn't answer is asked about through two others, then suspected, and dropped
 unless it refutes; what becomes of nodes travels with shuffles (SWIM: Das, Gupta, Motivala, 2002).
 
-Departures from Cyclon: while the view has room nothing is removed from it, so a small system is known whole,
-and digests take the place of descriptors (what a digest names and isn't known is asked for); and dropped nodes
-are pinged for a while, so that a healed partition joins again.
+Departures from Cyclon: while the view has room nothing is removed, so a small system is known whole, and
+digests take the place of descriptors (what a digest names and isn't known is asked for). Dropped nodes are
+pinged for a while, so that a healed partition joins again.
 """
 from collections.abc import Iterable
 from random import Random
@@ -33,7 +33,7 @@
     decode,
     encode,
 )
-from shedgrade.membership.table import LEFT, RUMOURS, Entry, Send, Table, addressable
+from shedgrade.membership.table import DROPPED, LEFT, RUMOURS, Entry, Send, Table, addressable
 
 PROMPT = 0.4            # s: a shuffle is answered in it, or others are asked
 INQUIRED = 0.6          # s that the inquiry through others takes
@@ -269,13 +269,15 @@
             return
         entry = self.table.entries.get(pending.name)
         if entry is not None and message.sender.node.name != pending.name:
-            self.table.drop(now, entry, "dropped")      # another process has its address now
+            self.table.drop(now, entry, DROPPED)        # another process has its address now
+        elif entry is not None:
+            entry.heard = now       # whatever its incarnation: else it would be the next partner for ever
         self.take_in(now, sender, message, [pending.name, *pending.sent])
 
     def take_in(self, now: float, sender: str, message: Shuffle | Shuffled, room: list[str]) -> None:
         table, found = self.table, [message.sender, *message.entries[:self.length]]
+        self.learn(now, found, room)
         for descriptor in found:
-            table.learn(now, descriptor, room)
             if descriptor.node.address in self.contacts:
                 self.contacts[descriptor.node.address] = now
         self.census.sample(now, [(each.node.name, each.node.kind) for each in found
@@ -310,8 +312,7 @@
     def noticed(self, now: float, sender: str, message: Notice) -> None:
         before = self.table.incarnation
         self.hear(now, message.rumours)
-        for descriptor in message.entries[:self.length]:
-            self.table.learn(now, descriptor, [])
+        self.learn(now, message.entries[:self.length], [])
         if self.table.incarnation != before:
             self.send(sender, Notice([self.table.own()], []))
 
@@ -321,6 +322,14 @@
         if (entries or rumours) and addressable(sender):
             self.send(sender, Notice(entries, rumours))
 
+    def learn(self, now: float, found: list[Descriptor], room: list[str]) -> None:
+        returned = [each.node for each in found if self.table.returned(now, each)]
+        for descriptor in found:
+            self.table.learn(now, descriptor, room)
+        if returned:    # one at a time; it learns what is believed of it and refutes
+            node = self.random.choice(returned)
+            self.ping(node.address, self.table.about(node.name))
+
     def hear(self, now: float, rumours: list[Rumour]) -> None:
         for rumour in rumours[:2 * RUMOURS]:
             entry = self.table.entries.get(rumour.name)
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -326,6 +326,20 @@
     assert network.run(10, known_to_all(network, again)) is not None
 
 
+def test_a_rumour_of_an_earlier_life_on_a_new_one_is_refuted():
+    # A seed: the entry's incarnation was above the node's own, so its answers counted for nothing.
+    network = Network(13, 9)
+    network.run(15)
+    for address, view in network.views.items():
+        if address != node(5).address:
+            view.table.entries[node(5).name].incarnation = 3
+    network.run(15)
+    assert network.views[node(5).address].table.incarnation == 4
+    for address, view in network.views.items():
+        if address != node(5).address:
+            assert view.table.entries[node(5).name].incarnation == 4
+
+
 def test_another_process_at_an_address_replaces_the_first():
     network = Network(11, 9)
     network.run(15)
@@ -334,6 +348,55 @@
     assert network.run(15, network.whole) is not None and not network.holders(node(5).name)
 
 
+def nemesis(network, seconds):
+    """Troubles by chance; at the end all run again."""
+    end, lives = network.now + seconds, 2000
+    everyone = sorted(network.views)
+    while network.now < end:
+        network.run(network.random.uniform(0.1, 5))
+        one = network.random.choice(everyone)
+        match network.random.randrange(7):
+            case 0 if one in network.views:
+                network.kill(one)
+            case 1 if one in network.views and not network.views[one].left:
+                network.views[one].leave(network.now)
+                network.after(one)
+                network.run(0.1)
+                network.kill(one)
+            case 2:
+                side = set(network.random.sample(everyone, network.random.randrange(1, 5)))
+                network.parted = lambda a, b, side=side: (a in side) != (b in side)
+            case 3:
+                deaf = one
+                network.parted = lambda a, b, deaf=deaf: b == deaf
+            case 4:
+                network.parted = lambda a, b: False
+            case 5:
+                network.stopped = {one}
+            case 6:
+                network.stopped, network.loss = set(), network.random.choice((0.0, 0.01, 0.2))
+        down = [address for address in everyone if address not in network.views]
+        if down and network.random.random() < 0.4:
+            lives += 1
+            again = next(each for each in map(node, range(9)) if each.address == down[0])
+            network.start(msgspec.structs.replace(again, life=lives))
+    network.parted, network.stopped, network.loss = (lambda a, b: False), set(), 0.01
+    for address in everyone:
+        if address not in network.views:
+            network.start(next(each for each in map(node, range(9)) if each.address == address))
+
+
+@pytest.mark.parametrize("first", [0, 10])
+def test_whatever_happens_nine_know_all_fifteen_seconds_after_its_end(first):
+    for seed in range(first, first + 10):
+        network = Network(seed, 9)
+        nemesis(network, 60)
+        assert network.run(15, network.whole) is not None, seed
+        lives = {view.table.me for view in network.views.values()}
+        network.run(10)
+        assert all(set(view.nodes()) == lives for view in network.views.values()), seed
+
+
 def test_what_is_too_long_is_refused():
     with pytest.raises(ValueError):
         View(node(1, state="x" * 600), Random(1), 0.0)
