--- a/shedgrade/replication/voting.py
+++ b/shedgrade/replication/voting.py
@@ -99,8 +99,7 @@
     def heartbeat(self, now: float, sender: str, beat: Heartbeat) -> None:
         if self.follow(now, sender, beat.epoch, beat.record):
             self.finish(beat.epoch, beat.finished)
-            if beat.round:
-                self.ack(now, sender, beat.epoch, beat.round)
+            self.ack(now, sender, beat.epoch, beat.round)
 
     def replicate(self, now: float, sender: str, write: Replicate) -> None:
         if not self.follow(now, sender, write.epoch, None):
