Link: what waits goes over a connection that comes in; senders are addresses

A member that returned dialled us while our own dial still hung, and what waited for that was dropped; it goes over the new connection now. A sender that is no address closes its connection, and sending to none is dropped and not raised. Duties: holder takes the time, as held does.

--- a/shedgrade/controlplane/duties.py
+++ b/shedgrade/controlplane/duties.py
@@ -365,12 +365,15 @@
         round_ = self.rounds[duty]
         return bool(round_.holding) and (now is None or now < round_.tenure.lease)
 
-    def holder(self, duty: str) -> tuple[str, int] | None:
-        """The holder's address and term, as last heard and not said to have ended. None: not known."""
+    def holder(self, duty: str, now: float | None = None) -> tuple[str, int] | None:
+        """The holder's address and term, as last heard and not said to have ended; with `now`, only if it was
+        heard within VACANT. None: not known."""
         round_ = self.rounds[duty]
-        if round_.holding:
+        if self.held(duty, now):
             return self.address, round_.holding
-        return (round_.holder, round_.holder_term) if round_.holder else None
+        if not round_.holder or now is not None and now >= round_.heard + VACANT:
+            return None
+        return round_.holder, round_.holder_term
 
     def resign(self, now: float) -> None:
         """SIGTERM: gives all up, tells the others, and never stands again; votes are still given."""
--- a/shedgrade/link/peer.py
+++ b/shedgrade/link/peer.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import Callable
 
-from shedgrade.link.address import join
+from shedgrade.link.address import join, split
 from shedgrade.link.frames import LONGEST, Frame, FrameError, FrameReader, encode
 from shedgrade.log import logger
 
@@ -69,8 +69,9 @@
         for frame in frames:
             if self.closed:
                 return
+            if frame.sender != self.sender and not self.names(frame.sender):
+                return
             self.frames += 1
-            self.sender = frame.sender
             if not frame.answers:
                 self.handle(self, frame)
                 continue
@@ -111,6 +112,18 @@
         self.send(body, self.last_call)
         return self.last_call
 
+    def names(self, sender: str) -> bool:
+        """Takes the other side's name for itself; cut if it is no address, since answers would go there."""
+        try:
+            split(sender)
+        except ValueError as error:
+            logger.warning("link: {} names a sender that can't be, its connection is closed: {}", self.name(),
+                           str(error))
+            self.cut()
+            return False
+        self.sender = sender
+        return True
+
     def name(self) -> str:
         return self.sender or join(self.transport.get_extra_info("peername") or ("?", 0))
 
--- a/shedgrade/link/tcp.py
+++ b/shedgrade/link/tcp.py
@@ -91,12 +91,11 @@
         self.closed = False
 
     def send(self, address: str, body: bytes) -> None:
-        """One way; dropped if it can't go. ValueError: no address."""
+        """One way; dropped if it can't go."""
         self.forward(address, body, None)
 
     async def call(self, address: str, body: bytes, timeout: float) -> bytes:
-        """The body that answers. LinkError: no answer within `timeout` seconds, or none can come.
-        ValueError: no address."""
+        """The body that answers. LinkError: no answer within `timeout` seconds, or none can come."""
         answer = self.loop.create_future()
         expiry = self.loop.call_later(timeout, expire, answer)
         try:
@@ -109,15 +108,13 @@
     def adopt(self, peer: Peer) -> None:
         """An incoming connection whose frames name their sender: used for sending to that address while it is
         open and was heard from lately, so two processes need one connection and not two."""
-        if not peer.sender or peer.closed:
-            return
-        try:
-            split(peer.sender)
-        except ValueError:
+        if not peer.sender or peer.closed or self.closed:
             return
         address = peer.sender
-        self.route(address).adopted = peer
+        route = self.route(address)
+        route.adopted = peer
         peer.on_close.append(lambda: self.abandon(address, peer))
+        self.flush(route, peer)     # one that returned comes to us while our dial still hangs
 
     def close(self) -> None:
         """Cuts own connections; calls under way end with a LinkError."""
@@ -149,7 +146,12 @@
                 self.failed(route)
 
     def forward(self, address: str, body: bytes, answer: asyncio.Future | None) -> None:
-        where = split(address)
+        try:
+            where = split(address)
+        except ValueError as error:     # guards against what a stranger said its address was
+            logger.error("link: not sent: {}", str(error))
+            refuse(answer, str(error))
+            return
         route = self.route(address)
         adopted = route.adopted
         if adopted is not None and not adopted.closed and self.loop.time() - adopted.heard < LATELY:
@@ -199,6 +201,9 @@
             raise
         route.dial, route.peer = None, peer
         peer.on_close.append(lambda: self.abandon(address, peer))
+        self.flush(route, peer)
+
+    def flush(self, route: Route, peer: Peer) -> None:
         waiting, route.waiting, route.waiting_bytes = route.waiting, [], 0
         for body, answer in waiting:
             self.hand(peer, body, answer)
--- a/tests/controlplane/test_duties.py
+++ b/tests/controlplane/test_duties.py
@@ -19,6 +19,7 @@
     """Members, a network with one-way delays of `delay` (least, most) in s, `loss`, and cuts one way."""
 
     kind = Duties
+    twice = 0.02        # of all messages come twice
 
     def __init__(self, seed, count=3, delay=(0.03, 0.06), loss=0.0, duties=(POLL,)):
         self.random, self.delay, self.loss, self.duties = Random(seed), delay, loss, duties
@@ -44,10 +45,11 @@
                 self.history.append((self.now, name, effect))
                 continue
             if self.random.random() >= self.loss and (name, effect.address) not in self.cut:
-                self.turn += 1
-                at = self.now + self.random.uniform(*self.delay)
                 data = codec[0].encode(effect.message)
-                heapq.heappush(self.events, (at, self.turn, effect.address, name, data))
+                for _ in range(1 + (self.random.random() < self.twice)):
+                    self.turn += 1
+                    at = self.now + self.random.uniform(*self.delay)
+                    heapq.heappush(self.events, (at, self.turn, effect.address, name, data))
 
     def live(self):
         return [name for name in self.members if name not in self.stopped]
@@ -109,6 +111,9 @@
         [holder] = play.holders()
         for name in play.names:
             assert play.members[name].holder(POLL) == (holder, play.terms()[0])
+            assert play.members[name].holder(POLL, play.now) == (holder, play.terms()[0])
+            if name != holder:
+                assert play.members[name].holder(POLL, play.now + module.VACANT) is None
 
 
 @pytest.mark.parametrize("count", [3, 5])
--- a/tests/link/test_ends.py
+++ b/tests/link/test_ends.py
@@ -209,6 +209,41 @@
     play(scene)
 
 
+def test_a_sender_that_is_no_address_closes_its_connection(play, lines):
+    async def scene(loop, one, two):
+        await two.server.start()
+        reader, writer = await asyncio.open_connection(*two.where)
+        writer.write(encode("10.0.0.1:1", 0, False, b"taken") + encode("nobody", 0, False, b"not taken"))
+        try:
+            assert await reader.read() == b""
+        except ConnectionResetError:
+            pass
+        writer.close()
+        assert len(lines) == 1 and "nobody" in lines[0]
+        assert await two.got.get() == ("10.0.0.1:1", b"taken") and two.got.empty()
+        two.links.send("nobody", b"x")
+        with pytest.raises(LinkError):
+            await two.links.call("nobody", b"x", 5)
+    play(scene)
+
+
+def test_what_waits_for_a_hanging_dial_goes_over_a_connection_that_comes_in(play):
+    async def scene(loop, one, two):
+        await one.server.start()
+        with socket.socket() as full, socket.socket() as first, socket.socket() as second:
+            full.bind(two.where)
+            full.listen(0)
+            for handle in (first, second):
+                handle.setblocking(False)
+                handle.connect_ex(two.where)
+            one.links.send(two.address, b"held")
+            assert one.links.routes[two.address].dial is not None
+            two.links.send(one.address, b"back again")
+            assert await one.got.get() == (two.address, b"back again")
+            assert await two.got.get() == (one.address, b"held")
+    play(scene)
+
+
 def test_a_peer_that_does_not_read_is_cut(play, lines, monkeypatch):
     async def scene(loop, one, two):
         monkeypatch.setattr(peers, "MOST_UNSENT", 200_000)
