--- a/tests/ctl/test_deploy_lists.py
+++ b/tests/ctl/test_deploy_lists.py
@@ -24,7 +24,8 @@
         elif isinstance(node, ast.ImportFrom) and not node.level:
             names |= {node.module} | {f"{node.module}.{alias.name}" for alias in node.names}
     paths = {ROOT / name.replace(".", "/") for name in names if name.split(".")[0] == "shedgrade"}
-    return {found for path in paths for found in (path.with_suffix(".py"), path / "__init__.py") if found.exists()}
+    found = {file for path in paths for file in (path.with_suffix(".py"), path / "__init__.py")}
+    return {file for file in found if file.exists()}
 
 
 def test_the_sidecar_loads_nothing_that_its_deploy_file_does_not_list():
