Control state on disk: two slots written in turn, a short log between

A core member must remember its word and its state over a loss of power. A write is one log record and one sync; after a failure or a load the other slot is written whole, so no torn tail is ever gone on with. Numbers given once keep mixed bytes from passing for one write, and a log with a higher number than the slot shows damage. 22 tests, among them drawn orders of writes, failures, ends and losses of power, find only what was promised or in flight.

--- /dev/null
+++ b/shedgrade/storage/store.py
@@ -0,0 +1,128 @@
+"""The store: a map of keys to bytes that outlives the process and the power, on one folder."""
+
+import errno
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from shedgrade.findings import Finding
+from shedgrade.storage import layout
+from shedgrade.storage.files import Files
+from shedgrade.storage.recovery import NAMES, OTHER, State, recover
+
+LEAST_LOG = 64 * 1024  # bytes under which a log is not worth folding into a slot
+MOST_RECORDS = 1024  # of one log, so that reading it at a start stays short
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """What `load` found. `values`: empty unless the state is sound. `findings`: what was not in order."""
+
+    state: State
+    values: dict[str, bytes]
+    findings: tuple[Finding, ...] = ()
+
+
+class Store:
+    """One folder, of one process; one call at a time, off the loop: each may wait for the disk.
+
+    A write is a record at the end of a log and one sync. When the log has grown to the size of its slot, the
+    whole map goes into the other slot, which has the next log. A slot is never touched while it is the one in
+    use.
+    """
+
+    def __init__(self, folder: str | Path, files=None) -> None:
+        self.files = Files(folder) if files is None else files
+        self.loaded = self.newer = self.named = self.appending = False
+        self.values: dict[str, bytes] = {}
+        self.used, self.sequence, self.base = "b", 0, 0
+        self.slot_size = self.log_size = self.records = 0
+
+    def load(self) -> Found:
+        """What the last writes left. What it gives is durable: it is synced before it is told.
+
+        OSError: the disk cannot be read, or not be synced; nothing is known, to be tried again.
+        """
+        self.loaded = self.named = self.appending = False
+        self.files.close()
+        found = recover(self.files)
+        if found.state is State.SOUND:
+            # Guards against a process that was killed before its sync: what it wrote is read all the same.
+            for name in (f"slot-{found.used}", f"log-{found.used}"):
+                if name in found.sizes:
+                    self.files.sync(name)
+            self.files.sync_folder()
+            self.named = len(found.sizes) == len(NAMES)
+        self.values, self.sequence, self.newer = dict(found.values), found.highest, found.newer
+        self.used = found.used or "b"
+        self.loaded = True
+        return Found(found.state, found.values, tuple(found.findings))
+
+    def write(self, changes: Mapping[str, bytes | None]) -> None:
+        """Durable when it returns, all or nothing; None removes a key.
+
+        OSError: the disk refuses. The group may be found at the next load or not; the next write that returns
+        settles that it is not there. EFBIG if the whole map would be too large, EPERM if the folder is of a
+        later version: then nothing was tried.
+        """
+        if not self.loaded:
+            self.load()
+        if self.newer:
+            # Guards against a downgrade that takes away the state of all members at once.
+            raise OSError(errno.EPERM, "the folder was written by a later version")
+        group = {key: plain(key, value) for key, value in changes.items()}
+        values = dict(self.values)
+        layout.apply(values, group)
+        if sum(4 * len(key) + len(value) + 16 for key, value in values.items()) > layout.LARGEST:
+            raise OSError(errno.EFBIG, os.strerror(errno.EFBIG))
+        # Guards against a number given twice: one whose write failed may be on disk all the same.
+        self.sequence += 1
+        # Guards against a torn tail: after a failure or a load the log is left, the other slot is written.
+        appending, self.appending = self.appending, False
+        if not (appending and self.append(group)):
+            self.fold(values)
+        self.values, self.appending = values, True
+
+    def append(self, group: dict[str, bytes | None]) -> bool:
+        """The group as a record of the log, or False if the log is long enough."""
+        data = layout.record(self.sequence, group)
+        if self.records >= MOST_RECORDS or self.log_size + len(data) > max(LEAST_LOG, self.slot_size):
+            return False
+        name = f"log-{self.used}"
+        if not self.log_size:
+            self.files.truncate(name, 0)
+            data = layout.log(self.base) + data
+        self.files.write(name, self.log_size, data)
+        self.files.sync(name)
+        self.log_size += len(data)
+        self.records += 1
+        return True
+
+    def fold(self, values: dict[str, bytes]) -> None:
+        """The whole map into the slot that is not in use; its log is begun by the next write."""
+        letter, data = OTHER[self.used], layout.slot(self.sequence, values)
+        name = f"slot-{letter}"
+        if not self.named:
+            self.files.make()
+            for other in NAMES:
+                self.files.write(other, 0, b"")
+        self.files.write(name, 0, data)
+        self.files.truncate(name, len(data))
+        self.files.sync(name)
+        if not self.named:
+            self.files.sync_folder()
+            self.named = True
+        self.used, self.base = letter, self.sequence
+        self.slot_size, self.log_size, self.records = len(data), 0, 0
+
+    def close(self) -> None:
+        self.files.close()
+        self.loaded = self.appending = False
+
+
+def plain(key: str, value) -> bytes | None:
+    """The value as bytes of its own. Guards against what could be written and not be read again."""
+    if not isinstance(key, str):
+        raise TypeError(f"key {key!r} is no string")
+    return value if value is None or type(value) is bytes else bytes(memoryview(value))
--- /dev/null
+++ b/tests/storage/test_slots.py
@@ -0,0 +1,173 @@
+"""Any order of writes, failures, ends and losses of power: what is loaded is what was last promised."""
+import errno
+from random import Random
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from shedgrade.simulation.disk import SimulatedDisk
+from shedgrade.storage import State, Store, store
+
+KEYS = st.sampled_from(["configuration", "version", "evacuations", "epoch"])
+LONG = st.integers(0, 3000).map(lambda size: bytes([size % 251]) * size)
+VALUES = st.one_of(st.none(), st.binary(max_size=40), LONG)
+GROUPS = st.dictionaries(KEYS, VALUES, max_size=3)
+STEPS = st.one_of(
+    st.tuples(st.just("write"), GROUPS),
+    st.tuples(st.just("write"), GROUPS),
+    st.tuples(st.sampled_from(["refused", "killed", "power"]), GROUPS, st.integers(0, 9)),
+    st.tuples(st.just("full"), GROUPS),
+    st.tuples(st.sampled_from(["restart", "power loss", "wipe"])),
+)
+
+
+class EndError(Exception):
+    """The process ends here."""
+
+
+class World:
+    """A store on a simulated disk, beside what it may hold.
+
+    `base`: what the store goes on from. `possible`: what a loss of power may leave. `doubted`: a sync
+    failed, so that what is read before the next write may yet be lost with the power.
+    """
+
+    def __init__(self, seed):
+        self.random = Random(seed)
+        self.disk = SimulatedDisk(self.random)
+        self.base, self.possible, self.written, self.doubted = {}, [{}], False, False
+        self.start()
+
+    def start(self):
+        self.store = Store("simulated", files=self.disk.files)
+        found = self.store.load()
+        if self.written:
+            assert found.state is State.SOUND, found
+        elif found.state is not State.SOUND:
+            assert found.values == {}
+        assert found.values in self.possible, (found, self.possible)
+        self.base = found.values
+        if found.state is State.SOUND:
+            self.written = True
+        if not self.doubted:
+            self.possible = [self.base]
+
+    def after(self, group):
+        values = {**self.base, **group}
+        return {key: value for key, value in values.items() if value is not None}
+
+    def write(self, group):
+        values = self.after(group)
+        self.store.write(group)
+        self.base, self.possible, self.written, self.doubted = values, [values], True, False
+
+    def full(self, group):
+        self.disk.full = True
+        self.attempt(group)
+        self.disk.full = False
+
+    def attempt(self, group):
+        try:
+            self.write(group)
+        except (OSError, EndError):
+            self.possible.append(self.after(group))
+
+    def troubled(self, error, group, calls):
+        left = [calls]
+
+        def trouble(operation, name):
+            left[0] -= 1
+            if left[0] < 0:
+                if operation == "sync" and isinstance(error, OSError):
+                    self.doubted = True
+                raise error
+        self.disk.trouble = trouble
+        self.attempt(group)
+        self.disk.trouble = None
+
+    def refused(self, group, calls):
+        self.troubled(OSError(errno.EIO, "refused"), group, calls)
+
+    def killed(self, group, calls):
+        self.troubled(EndError(), group, calls)
+        self.start()
+
+    def power(self, group, calls):
+        self.troubled(EndError(), group, calls)
+        self.power_loss()
+
+    def power_loss(self):
+        self.disk.power_loss(self.random)
+        self.doubted = False
+        self.start()
+
+    def restart(self):
+        self.start()
+
+    def wipe(self):
+        self.disk.wipe()
+        self.written, self.possible, self.doubted = False, [{}], False
+        self.start()
+        assert self.store.load().state is State.EMPTY
+
+    def step(self, kind, *rest):
+        getattr(self, kind.replace(" ", "_"))(*rest)
+
+
+def play(seed, steps):
+    world = World(seed)
+    for step in steps:
+        world.step(*step)
+    world.write({"last": b"word"})
+    world.power_loss()
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.integers(0, 2**32), st.lists(STEPS, max_size=25))
+@example(0, [("refused", {"version": b"1"}, 2), ("power loss",)])
+def test_what_is_loaded_is_the_last_write_that_returned_or_the_one_in_flight(seed, steps):
+    play(seed, steps)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.integers(0, 2**32), st.lists(STEPS, max_size=40), st.integers(1, 4))
+def test_the_same_with_logs_so_short_that_slots_change_all_the_time(seed, steps, records):
+    most, store.MOST_RECORDS = store.MOST_RECORDS, records
+    try:
+        play(seed, steps)
+    finally:
+        store.MOST_RECORDS = most
+
+
+def each_cut(calls, groups, seeds=range(40)):
+    """Writes groups, cuts the power at every call of the last one, in many ways; the states found."""
+    found = set()
+    for seed in seeds:
+        for cut in range(calls):
+            world = World(seed)
+            for group in groups[:-1]:
+                world.write(group)
+            world.power(groups[-1], cut)
+            found.add(tuple(sorted(world.base.items())))
+    return found
+
+
+def test_power_lost_at_every_call_of_a_log_record_leaves_all_or_nothing():
+    before, after = {"a": b"1"}, {"a": b"2" * 3000, "b": b"3"}
+    assert each_cut(4, [before, {"x": None}, after]) == {
+        tuple(sorted(before.items())), tuple(sorted(after.items()))}
+
+
+def test_power_lost_at_every_call_of_a_slot_leaves_all_or_nothing():
+    groups = [{"a": b"1" * 70_000}, {"a": b"2" * 70_000}, {"a": b"3" * 70_000, "b": b"4"}]
+    assert each_cut(4, groups) == {(("a", groups[1]["a"]),), tuple(sorted(groups[2].items()))}
+
+
+def test_power_lost_in_the_first_write_is_no_memory_or_the_write():
+    states = set()
+    for seed in range(60):
+        for cut in range(12):
+            world = World(seed)
+            world.power({"a": b"1" * 900}, cut)
+            states.add((world.store.load().state, bool(world.base)))
+    assert states == {(State.EMPTY, False), (State.DAMAGED, False), (State.SOUND, True)}
--- /dev/null
+++ b/tests/storage/test_store_calls.py
@@ -0,0 +1,189 @@
+"""What each call of the store costs, refuses and leaves; on a real folder and on a simulated disk."""
+import errno
+import os
+from random import Random
+
+import pytest
+
+from shedgrade.simulation.disk import SimulatedDisk
+from shedgrade.storage import State, Store, layout, recovery, store
+from shedgrade.storage.files import Files
+
+
+def simulated(seed=0):
+    disk = SimulatedDisk(Random(seed))
+    return disk, Store("simulated", files=disk.files)
+
+
+def again(disk):
+    return Store("simulated", files=disk.files).load()
+
+
+def test_a_folder_that_is_not_there_is_empty_and_is_made_by_the_first_write(tmp_path):
+    folder = tmp_path / "deep" / "control"
+    one = Store(folder)
+    assert one.load().state is State.EMPTY and one.load().state == "empty" and not folder.exists()
+    one.write({"configuration": b"c", "version": b"7"})
+    one.write({"version": b"8", "configuration": None})
+    one.close()
+    assert sorted(os.listdir(folder)) == ["log-a", "log-b", "slot-a", "slot-b"]
+    found = Store(folder).load()
+    assert (found.state, found.values, found.findings) == (State.SOUND, {"version": b"8"}, ())
+
+
+def test_values_come_back_from_a_real_folder_over_many_slots_and_starts(tmp_path):
+    model, random = {}, Random(5)
+    for _ in range(6):
+        one = Store(tmp_path)
+        assert one.load().values == model
+        for number in range(50):
+            key = f"k{random.randrange(6)}"
+            value = random.choice([None, b"", bytes([number]) * random.randrange(9000)])
+            one.write({key: value})
+            model[key] = value
+            model = {key: value for key, value in model.items() if value is not None}
+        one.close()
+    assert Store(tmp_path).load().values == model
+
+
+def test_other_files_in_the_folder_are_not_ours(tmp_path):
+    (tmp_path / "lost+found").write_bytes(b"x")
+    assert Store(tmp_path).load().state is State.EMPTY
+
+
+def test_values_of_four_megabytes_are_kept_and_their_disk_is_bounded(tmp_path):
+    one = Store(tmp_path)
+    for number in range(7):
+        one.write({"configuration": bytes([number]) * 4_000_000, "version": b"%d" % number})
+        one.write({"version": b"+%d" % number})
+    one.close()
+    assert Store(tmp_path).load().values == {"configuration": b"\6" * 4_000_000, "version": b"+6"}
+    assert sum(path.stat().st_size for path in tmp_path.iterdir()) < 4 * 4_100_000
+
+
+def test_a_write_is_one_sync_but_the_first_and_the_log_stays_short():
+    disk, one = simulated()
+    one.load()
+    one.write({"a": b"1"})
+    assert disk.syncs == 2  # the slot, the folder
+    for number in range(store.MOST_RECORDS):
+        one.write({"a": b"%d" % number})
+    assert disk.syncs == 2 + store.MOST_RECORDS
+    slots = disk.contents()["slot-b"]
+    one.write({"a": b"folded"})
+    assert slots == b"" and disk.contents()["slot-b"] and disk.syncs == 3 + store.MOST_RECORDS
+    assert again(disk).values == {"a": b"folded"}
+
+
+def test_a_log_grows_no_longer_than_its_slot_or_the_least():
+    disk, one = simulated()
+    for number in range(300):
+        one.write({"a": bytes(1000), "n": b"%d" % number})
+        assert all(len(data) <= store.LEAST_LOG + 2000 for data in disk.contents().values())
+    assert again(disk).values["n"] == b"299"
+
+
+def test_a_full_disk_refuses_and_the_next_write_works_in_the_other_slot():
+    disk, one = simulated()
+    one.write({"a": b"1"})
+    one.write({"a": b"2"})
+    log = disk.contents()["log-a"]
+    disk.full = True
+    for _ in range(3):
+        with pytest.raises(OSError) as refused:
+            one.write({"a": b"3"})
+        assert refused.value.errno == errno.ENOSPC
+    assert again(disk).values == {"a": b"2"}
+    disk.full = False
+    one.write({"b": b"4"})
+    assert disk.contents()["log-a"] == log
+    assert again(disk).values == {"a": b"2", "b": b"4"}
+
+
+def test_what_a_failed_write_left_is_settled_by_the_next_one():
+    disk, one = simulated()
+    one.write({"a": b"1"})
+
+    def trouble(operation, name):
+        if operation == "sync":
+            raise OSError(errno.EIO, "sync")
+    disk.trouble = trouble
+    with pytest.raises(OSError):
+        one.write({"a": b"2"})
+    disk.trouble = None
+    assert layout.read_log(disk.contents()["log-a"]).changes == [{"a": b"2"}]
+    one.write({"b": b"3"})
+    assert again(disk).values == {"a": b"1", "b": b"3"}
+
+
+def test_what_a_killed_process_left_unsynced_is_durable_once_it_was_told():
+    for seed in range(20):
+        disk, one = simulated(seed)
+        one.write({"a": b"1"})
+
+        def trouble(operation, name):
+            if operation == "sync":
+                raise KeyboardInterrupt
+        disk.trouble = trouble
+        with pytest.raises(KeyboardInterrupt):
+            one.write({"a": b"2"})
+        disk.trouble = None
+        assert again(disk).values == {"a": b"2"}
+        disk.power_loss(Random(seed))
+        assert again(disk).values == {"a": b"2"}
+
+
+def test_a_load_that_cannot_sync_tells_nothing():
+    disk, one = simulated()
+    one.write({"a": b"1"})
+
+    def trouble(operation, name):
+        raise OSError(errno.EIO, "gone")
+    disk.trouble = trouble
+    with pytest.raises(OSError):
+        again(disk)
+    disk.trouble = None
+    assert again(disk).values == {"a": b"1"}
+
+
+def test_a_map_too_large_is_refused_and_nothing_is_tried():
+    disk, one = simulated()
+    one.write({"a": b"1"})
+    before = disk.contents()
+    with pytest.raises(OSError) as refused:
+        one.write({"b": bytes(layout.LARGEST)})
+    assert refused.value.errno == errno.EFBIG and disk.contents() == before
+    one.write({"b": bytes(layout.LARGEST - 100)})
+    assert len(again(disk).values["b"]) == layout.LARGEST - 100
+
+
+@pytest.mark.parametrize("changes", [{1: b"x"}, {"a": 5}, {"a": "text"}])
+def test_what_is_no_bytes_under_a_string_is_refused(changes):
+    disk, one = simulated()
+    one.write({"a": b"1"})
+    with pytest.raises(TypeError):
+        one.write(changes)
+    one.write({"b": bytearray(b"2")})
+    assert again(disk).values == {"a": b"1", "b": b"2"}
+
+
+def test_a_write_without_a_load_goes_on_from_what_is_there(tmp_path):
+    Store(tmp_path).write({"a": b"1"})
+    Store(tmp_path).write({"b": b"2"})
+    assert Store(tmp_path).load().values == {"a": b"1", "b": b"2"}
+
+
+def test_the_files_of_a_folder_close_and_open_again(tmp_path):
+    files = Files(tmp_path)
+    files.write("x", 3, b"abc")
+    files.sync("x")
+    files.close()
+    files.write("x", 0, b"xyz")
+    files.truncate("x", 5)
+    assert files.read("x") == b"xyzab" and files.names() == ["x"]
+    files.close()
+
+
+def test_names_that_others_use_stay():
+    assert recovery.NAMES == ("slot-a", "log-a", "slot-b", "log-b")
+    assert [str(state) for state in State] == ["empty", "sound", "damaged"]
