GET /status: what one core member knows

Operators had no way to see epochs, roles, edges, upstreams and duties. A core member now answers GET /status from its own memory, also without a primary, so that trouble can be looked at while it lasts.

--- a/shedgrade/controlplane/operators.py
+++ b/shedgrade/controlplane/operators.py
@@ -1,4 +1,8 @@
-"""The operators' calls: configuration and evacuations, by a tree of matchers."""
+"""The operators' calls: configuration, evacuations, status, by a tree of matchers."""
+from collections.abc import Callable
+
+import msgspec
+
 from shedgrade.controlplane.configuration import read
 from shedgrade.controlplane.orders import Evacuate, Order, PutConfiguration, Return
 from shedgrade.findings import Finding
@@ -9,11 +13,15 @@
 
 
 class Operators:
-    """`orders` has `order(order, tell)` and `read(tell)`; None told means: nothing can be said of it here."""
+    """`orders` has `order(order, tell)` and `read(tell)`; None told means: nothing can be said of it here.
+    `status()` gives plain data; without it there is no such call."""
 
-    def __init__(self, orders) -> None:
-        self.orders, self.calls = orders, CallTree()
-        for method, pattern, call in ((b"PUT", b"/configuration", self.put), (b"GET", b"/configuration", self.get),
+    def __init__(self, orders, status: Callable[[], dict] | None = None) -> None:
+        self.orders, self.status, self.calls = orders, status, CallTree()
+        if status is not None:
+            self.calls.add(b"GET", b"/status", self.tell_status)
+        for method, pattern, call in ((b"PUT", b"/configuration", self.put),
+                                      (b"GET", b"/configuration", self.get),
                                       (b"POST", b"/evacuation/{}", self.evacuate),
                                       (b"DELETE", b"/evacuation/{}", self.take_back)):
             self.calls.add(method, pattern, call)
@@ -44,7 +52,8 @@
         if checked.is_error():
             tell(failure(400, *checked.error))
             return
-        self.order(PutConfiguration(int(base) if base.isdigit() else None, checked.ok.version, request.body), tell)
+        known = int(base) if base.isdigit() else None
+        self.order(PutConfiguration(known, checked.ok.version, request.body), tell)
 
     def get(self, request: Request, tell: Tell) -> None:
         def told(state) -> None:
@@ -61,3 +70,7 @@
 
     def take_back(self, request: Request, tell: Tell, zone: bytes) -> None:
         self.order(Return(zone.decode(errors="replace")), tell)
+
+    def tell_status(self, request: Request, tell: Tell) -> None:
+        """From this member's memory, also where there is no primary."""
+        tell(Reply(200, msgspec.json.encode(self.status())))
--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -18,6 +18,7 @@
 from shedgrade.controlplane.ordering import Ordering
 from shedgrade.controlplane.orders import make_decide
 from shedgrade.controlplane.platform import InstanceList, Poller
+from shedgrade.controlplane.status import status
 from shedgrade.faults import fault
 from shedgrade.httpd import HttpServer
 from shedgrade.knowledge import Ask, AskList, EdgesKnown, ListMoved
@@ -65,7 +66,7 @@
                                   floor=int(time() * 10))
         self.hub = Hub(own, now, exchange=SPREAD)
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
-        self.operators = Operators(self.ordering)
+        self.operators = Operators(self.ordering, self.status)
         self.directory = Directory(settings.zones, random, settings.bounds)
         self.http: list[HttpServer] = []
         self.timer = None
@@ -290,7 +291,11 @@
         self.tell_others(KNOWLEDGE + knowledge.encode(self.instances.answer(*self.listed, now)))
         self.listed = self.instances.version
 
-    # --- clients
+    # --- operators and clients
+
+    def status(self) -> dict:
+        return status(self.loop.time(), self.settings.node_name, self.settings.zones, self.member, self.hub,
+                      self.instances, self.duties)
 
     def resolve(self, request, tell) -> None:
         tell(self.directory.handle(request, self.hub.edges(self.loop.time())))
