Data plane: an upstream that has fallen silent is tried by a connection

Cause: streams and kept connections to upstreams that went dark hung for 3 s, the kernel's probes, and at most half of the upstreams could be set aside on suspicion, while four of seven were gone.

--- a/shedgrade/dataplane/service.py
+++ b/shedgrade/dataplane/service.py
@@ -5,12 +5,14 @@
 from shedgrade.dataplane.caller import EngineCaller
 from shedgrade.dataplane.protocol import SystemProtocol
 from shedgrade.knowledge import Instance
+from shedgrade.log import logger
 from shedgrade.memory.upstreams import Addresses, Indices
 from shedgrade.serving.balancer import ServingBalancer
 from shedgrade.serving.repeats import Repeats
 from shedgrade.turn import Turn
 
-SUSPECT = 10_000        # tenths of a ms without a word from an upstream that has work of ours
+QUIET = 4_000           # tenths of a ms without a word from an upstream that has work of ours
+AGAIN = 10_000          # tenths of a ms before one that was reached is tried again
 
 
 class ServicePool:
@@ -24,6 +26,8 @@
         self.balancer = ServingBalancer(list(regions), regions[own], seed, clock.now(), repeats, me)
         self.repeats, self.cold_s = repeats, 0.0
         self.states: dict[int, int] = {}
+        self.trying: dict[int, int] = {}    # by upstream: when it was last tried whether it can be reached
+        self.tasks: set = set()
         protocol = SystemProtocol(self.indices.ids)
         self.caller = EngineCaller(loop, clock, self.addresses.known, budget, protocol, self.misdirected)
         self.turn = Turn(loop, clock, self.balancer, self.caller, self.indices.ids, budget, self.forget)
@@ -79,19 +83,30 @@
             self.caller.forget(upstream)
 
     def look(self) -> None:
-        """Guards against a machine that went dark: kept connections to it stay open and silent, and
-        streams of others still count as work there."""
+        """Guards against a machine that went dark: kept connections to it stay open and say nothing. One that
+        is only slow, with long prompts before ours, still takes a connection; one that is dark takes none."""
         now = self.clock.now()
         for index, up in list(self.balancer.ups.items()):
-            since = self.caller.silent_since(index) if up.flight else None
-            if since is not None and now - since > SUSPECT and not up.aside_until:
-                self.turn.gather(self.suspect, index)
+            if up.flight and now - self.caller.quiet_since(index) > QUIET and (
+                    now - self.trying.get(index, -AGAIN) >= AGAIN):
+                self.trying[index] = now
+                task = self.loop.create_task(self.reach(index))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
 
-    def suspect(self, now: int, upstream: int) -> None:
-        self.balancer.suspected(now, upstream)
-        self.caller.forget(upstream)
+    async def reach(self, upstream: int) -> None:
+        if not await self.caller.reach(upstream):
+            logger.info("{} can't be reached", self.indices.ids[upstream])
+            self.turn.gather(self.unreached, upstream)
+
+    def unreached(self, now: int, upstream: int) -> None:
+        up = self.balancer.ups.get(upstream)
+        if up is not None:
+            self.balancer.set_aside(now, up, True)
+        self.caller.dead(upstream)
 
     def forget(self, upstream: int) -> None:
         self.indices.release(upstream)
         self.addresses.known.pop(upstream, None)
+        self.trying.pop(upstream, None)
         self.caller.drop(upstream)
--- a/shedgrade/serving/balancer.py
+++ b/shedgrade/serving/balancer.py
@@ -80,12 +80,6 @@
     def retry_after(self, now: int, rpc: ServingRpc) -> int:
         return int(self.span(*BACK) * SECOND)
 
-    def suspected(self, now: int, upstream: int) -> None:
-        """Nothing comes from it though it has work of ours: no more goes there for a while."""
-        up = self.ups.get(upstream)
-        if up is not None:
-            self.set_aside(now, up, False)
-
     def release(self, up: Upstream) -> None:
         super().release(up)
         if up.index not in self.ups:
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -367,3 +367,62 @@
             assert client.headers["x-own"] == "kept" and "keep-alive" not in client.headers
             assert plane.services["lm"].caller.idle.limit == 40_000
     run(play())
+
+
+def test_what_waits_at_an_upstream_that_went_dark_goes_on_elsewhere():
+    async def play():
+        async def speaks_then_nothing(request, writer):
+            writer.write(streaming(request) + chunk(events(1, 2)))
+            await writer.drain()
+            await asyncio.Event().wait()
+
+        async def rest(request, writer):
+            after = int(request.get("last-event-id", 0))
+            writer.write(streaming(request, b"other") + chunk(events(*range(after + 1, 5))) + LAST)
+
+        dark, other = Upstream("i-1", speaks_then_nothing), Upstream("i-2", rest)
+        async with sidecar(configuration(route(resumable=True)), dark, other) as plane:
+            pool = plane.services["lm"]
+            index = pool.indices.by_id["i-1"]
+            while not dark.requests:
+                client = await Client().open(plane)
+                client.send(request(name=f"id-{len(other.requests)}"))
+                await client.head()
+                first = await client.chunk()
+            assert first == events(1, 2)
+
+            async def unreached(factory, address):
+                raise TimeoutError
+
+            pool.caller.connect = unreached
+            task = asyncio.ensure_future(pool.reach(index))
+            await task
+            pool.caller.connect = pool.caller.direct
+            body = await client.body()
+            assert body == events(3, 4) and pool.balancer.ups[index].aside_until
+    run(play())
+
+
+def test_one_that_is_only_slow_keeps_its_work():
+    async def play():
+        go_on = asyncio.Event()
+
+        async def slowly(request, writer):
+            await go_on.wait()
+            writer.write(whole(request, b"free: 4"))
+
+        upstream = Upstream("i-1", slowly)
+        async with sidecar(configuration(route(route_class="unsafe")), upstream) as plane:
+            client = await Client().open(plane)
+            client.send(request())
+            pool = plane.services["lm"]
+            while not upstream.requests:
+                await asyncio.sleep(0)
+            index = pool.indices.by_id["i-1"]
+            pool.caller.asked[index] -= 100_000
+            pool.look()
+            await asyncio.gather(*pool.tasks)
+            go_on.set()
+            assert await client.head() == 200
+        assert not pool.balancer.ups[index].aside_until
+    run(play())
--- a/tests/serving/test_serving_choice.py
+++ b/tests/serving/test_serving_choice.py
@@ -133,7 +133,7 @@
     assert max(made.ups[index].flight for index in taken) <= 4
 
 
-def test_a_silent_upstream_is_suspected_and_the_rest_serve():
+def test_an_upstream_that_is_set_aside_gets_nothing_and_the_rest_serve():
     made = balancer()
-    made.suspected(0, 0)
+    made.set_aside(0, made.ups[0], True)
     assert 0 not in {take(made)[1][0] for _ in range(6)}
