Orders: a repeat that is written differently, refusals with their place

The thin decision told a repeat only by its bytes and had no tests. The same JSON written otherwise is a repeat too, refusals say where, a zone no longer named can be taken back; histories drawn by hypothesis form one chain.

--- a/shedgrade/controlplane/orders.py
+++ b/shedgrade/controlplane/orders.py
@@ -1,5 +1,11 @@
-"""The operators' orders, decided against the newest control state. Pure: `make_decide` gives the function."""
-from collections.abc import Container, Mapping
+"""The operators' orders, decided against the newest control state. Pure: `make_decide` gives the function.
+
+State: `configuration` (the bytes as they came), `version` (decimal), `taken` (JSON list of [version, digest],
+the newest last), `evacuations` (sorted JSON list of zones). A key that is absent stands for none.
+
+Source: PROTOCOL, "The operator's API".
+"""
+from collections.abc import Callable, Container, Mapping
 from hashlib import blake2b
 
 import msgspec
@@ -17,10 +23,12 @@
 
 
 class Evacuate(msgspec.Struct, array_like=True, frozen=True, tag="evacuate"):
+    """Nothing more is to be sent to the upstreams of a zone."""
     zone: str
 
 
 class Return(msgspec.Struct, array_like=True, frozen=True, tag="return"):
+    """The evacuation of a zone is withdrawn."""
     zone: str
 
 
@@ -28,35 +36,45 @@
 
 
 class Reply(msgspec.Struct, array_like=True, frozen=True):
-    """`status` and text of an answer."""
+    """The HTTP `status` of an answer; `text`: what is wrong, `place`: where, if it is anywhere."""
     status: int
     text: str = ""
+    place: str = ""
 
 
 def digest(raw: bytes) -> str:
     return blake2b(raw, digest_size=12).hexdigest()
 
 
-def make_decide(zones: Container[str]):
-    """`decide(state, order)` for a deployment with these zones."""
+def alike(one: bytes, other: bytes) -> bool:
+    """The same JSON, however it is written."""
+    return one == other or msgspec.json.decode(one) == msgspec.json.decode(other)
+
+
+def make_decide(zones: Container[str]) -> Callable[[Mapping[str, bytes], Order], Decision]:
+    """`decide(state, order)` for a deployment with these zones; the outcome of its decisions is a Reply."""
 
     def put(state: Mapping[str, bytes], order: PutConfiguration) -> Decision:
         current = int(state.get("version") or 0)
         taken = msgspec.json.decode(state.get("taken") or b"[]")
-        if [order.version, digest(order.raw)] in taken:
+        # Guards an operator whose call got no clear answer: what it sends again has been taken, also if
+        # another version has taken its place since.
+        if [order.version, digest(order.raw)] in taken or (
+                order.version == current and alike(order.raw, state["configuration"])):
             return Decision({}, Reply(200))
-        if order.base is None or order.base != current:
-            return Decision({}, Reply(412, f"version {current} is in place"))
+        if order.base != current:
+            return Decision({}, Reply(412, f"version {current} is in place", "If-Match"))
         if order.version <= current:
-            return Decision({}, Reply(400, f"configVersion: is not above {current}"))
+            return Decision({}, Reply(400, f"is not above {current}", "configVersion"))
         taken = [*taken, [order.version, digest(order.raw)]][-REMEMBERED:]
         return Decision({"configuration": order.raw, "version": b"%d" % order.version,
                          "taken": msgspec.json.encode(taken)}, Reply(200))
 
     def evacuations(state: Mapping[str, bytes], zone: str, wanted: bool) -> Decision:
-        if zone not in zones:
-            return Decision({}, Reply(404, f"{zone}: no such zone"))
         known = set(msgspec.json.decode(state.get("evacuations") or b"[]"))
+        # A zone that the settings name no more may still be taken back.
+        if zone not in zones and zone not in known:
+            return Decision({}, Reply(404, "no such zone", zone))
         if (zone in known) == wanted:
             return Decision({}, Reply(200))
         known ^= {zone}
--- /dev/null
+++ b/tests/controlplane/test_orders.py
@@ -0,0 +1,133 @@
+"""The operators' orders as they are decided, alone and in races."""
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shedgrade.controlplane.channels import Outcome, Relayed, decode, encode
+from shedgrade.controlplane.orders import REMEMBERED, Evacuate, PutConfiguration, Reply, Return, make_decide
+
+decide = make_decide({"north-a": "north", "south-a": "south"})
+
+
+def put(version, base, content=0):
+    return PutConfiguration(base, version, orjson.dumps({"configVersion": version, "routeList": [content]}))
+
+
+class State(dict):
+    """Control state to which orders are applied in turn."""
+
+    def status(self, order):
+        decision = decide(self, order)
+        for key, value in decision.changes.items():
+            assert value is not None
+            self[key] = value
+        return decision.outcome.status
+
+    def version(self):
+        return int(self.get("version", 0))
+
+
+def test_versions_build_on_the_current_one():
+    state = State()
+    assert state.status(put(3, 0)) == 200 and state.version() == 3
+    assert state.status(put(7, 3)) == 200 and state["configuration"] == put(7, 3).raw
+    assert state.status(put(9, 3)) == 412 and state.version() == 7
+    assert state.status(put(9, 0)) == 412
+    assert state.status(put(9, 8)) == 412
+    assert state.status(put(5, 7)) == 400 and state.version() == 7
+    assert state.status(PutConfiguration(None, 9, b"{}")) == 412
+
+
+def test_what_is_said_again_has_been_taken():
+    state = State()
+    first, second = put(3, 0), put(7, 3)
+    assert [state.status(order) for order in (first, first, second, second, first)] == [200] * 5
+    assert state.version() == 7
+    spaced = PutConfiguration(3, 7, b'{ "routeList": [0],\n"configVersion": 7 }')
+    assert state.status(spaced) == 200 and state["configuration"] == second.raw
+
+
+def test_repeats_change_nothing():
+    state = State()
+    state.status(put(3, 0))
+    assert decide(state, put(3, 0)).changes == {}
+    assert decide(state, put(9, 1)).changes == {}
+    assert decide(state, Return("north-a")).changes == {}
+
+
+def test_two_with_the_same_number_are_not_both_taken():
+    state = State()
+    assert state.status(put(3, 0, "mine")) == 200
+    assert state.status(put(3, 0, "theirs")) == 412
+    assert state.status(put(5, 3)) == 200
+    assert state.status(put(3, 0, "theirs")) == 412
+    assert state.status(put(3, 0, "mine")) == 200
+
+
+def test_a_refusal_says_where_and_why():
+    state = State()
+    state.status(put(3, 0))
+    assert decide(state, put(9, 1)).outcome == Reply(412, "version 3 is in place", "If-Match")
+    assert decide(state, put(2, 3)).outcome == Reply(400, "is not above 3", "configVersion")
+    assert decide(state, Evacuate("west")).outcome == Reply(404, "no such zone", "west")
+
+
+def test_what_is_remembered_is_bounded():
+    state = State()
+    for version in range(1, REMEMBERED + 3):
+        assert state.status(put(version, version - 1)) == 200
+    assert len(orjson.loads(state["taken"])) == REMEMBERED
+    assert state.status(put(3, 2)) == 200       # of the last ones
+    assert state.status(put(2, 1)) == 412       # forgotten
+    assert len(state["taken"]) < 64 * REMEMBERED
+
+
+def test_zones_are_emptied_and_taken_back():
+    state = State()
+    assert state.status(Evacuate("south-a")) == 200
+    assert state.status(Evacuate("north-a")) == 200
+    assert state["evacuations"] == b'["north-a","south-a"]'
+    assert decide(state, Evacuate("north-a")).changes == {}
+    assert state.status(Return("south-a")) == 200 and state["evacuations"] == b'["north-a"]'
+    assert state.status(Return("south-a")) == 200
+    assert state.status(Evacuate("west")) == 404 and state.status(Return("west")) == 404
+    assert state.status(put(3, 0)) == 200 and state["evacuations"] == b'["north-a"]'
+
+
+def test_a_zone_that_settings_name_no_more_can_be_taken_back():
+    state = State({"evacuations": b'["gone"]'})
+    assert state.status(Return("gone")) == 200 and state["evacuations"] == b"[]"
+
+
+def test_what_is_no_order_is_a_fault():
+    with pytest.raises(TypeError):
+        decide({}, object())
+
+
+@given(st.lists(st.tuples(st.integers(1, 6), st.integers(0, 6), st.integers(0, 1)), max_size=30))
+def test_taken_versions_form_one_chain(orders):
+    """Whatever is sent in whatever order: each version that is taken builds on the one before and rises, and
+    an acknowledged one is acknowledged again."""
+    state, chain = State(), [0]
+    acknowledged = set()
+    for version, base, content in orders:
+        order = put(version, base, content)
+        before = state.version()
+        status = state.status(order)
+        if state.version() != before:
+            assert status == 200 and base == before < version and state["configuration"] == order.raw
+            chain.append(version)
+            assert (version, 1 - content) not in acknowledged
+        if status == 200:
+            acknowledged.add((version, content))
+        assert (status == 200) == ((version, content) in acknowledged)
+    assert chain == sorted(set(chain)) and chain[-1] == state.version()
+    assert all(state.status(put(version, 99, content)) == 200 for version, content in acknowledged)
+
+
+@pytest.mark.parametrize("order", [put(3, 0), put(3, None), Evacuate("north-a"), Return("north-a"), None])
+def test_orders_and_replies_travel(order):
+    assert decode(encode(Relayed(order))) == Relayed(order)
+    outcome = Outcome(Reply(412, "another", "If-Match"), {"version": b"3"})
+    assert decode(encode(outcome)) == outcome
