Operators' calls: If-Match is asked for, zones are decoded, repeats checked once

A missing or unreadable If-Match was told as a lost race; it is a finding now, beside those of the content. Escaped zone names are understood, and a configuration that is sent again is not checked anew. Tests play all calls.

--- a/shedgrade/controlplane/operators.py
+++ b/shedgrade/controlplane/operators.py
@@ -1,15 +1,32 @@
-"""The operators' calls: configuration, evacuations, status, by a tree of matchers."""
+"""The operators' calls: configuration, evacuations, status, by a tree of matchers.
+
+Source: PROTOCOL, "The operator's API". A configuration's content is checked here, by the member that took the
+call; only what depends on the newest state is decided at the primary.
+"""
 from collections.abc import Callable
+from urllib.parse import unquote
 
 import msgspec
 
 from shedgrade.controlplane.configuration import read
-from shedgrade.controlplane.orders import Evacuate, Order, PutConfiguration, Return
+from shedgrade.controlplane.orders import Evacuate, Order, PutConfiguration, Return, digest
 from shedgrade.findings import Finding
 from shedgrade.httpd import Reply, Request, Tell, failure
 from shedgrade.matching.calls import CallTree, Match, NotAllowed
 
 AGAIN = ((b"Retry-After", b"0.2"),)
+SOUND = 8               # configurations whose check is remembered, as their callers send them again
+UNAVAILABLE = failure(503, Finding("", "the control state is not to be had here"), headers=AGAIN)
+
+
+def version_in(header: bytes) -> int | None:
+    """The version in an `If-Match`, also as an entity tag; None if it is no number.
+
+    >>> version_in(b'5'), version_in(b'W/"5"'), version_in(b'*')
+    (5, 5, None)
+    """
+    digits = header.strip().removeprefix(b"W/").strip(b'"')
+    return int(digits) if digits.isdigit() and len(digits) < 20 else None
 
 
 class Operators:
@@ -18,6 +35,7 @@
 
     def __init__(self, orders, status: Callable[[], dict] | None = None) -> None:
         self.orders, self.status, self.calls = orders, status, CallTree()
+        self.sound: dict[str, int] = {}     # by their digest: versions of configurations found sound here
         if status is not None:
             self.calls.add(b"GET", b"/status", self.tell_status)
         for method, pattern, call in ((b"PUT", b"/configuration", self.put),
@@ -39,26 +57,36 @@
     def order(self, order: Order, tell: Tell) -> None:
         def told(reply) -> None:
             if reply is None:
-                tell(failure(503, Finding("", "the control state is not to be had here"), headers=AGAIN))
+                tell(UNAVAILABLE)
             elif reply.status == 200:
                 tell(Reply(200))
             else:
-                tell(failure(reply.status, Finding("", reply.text)))
+                tell(failure(reply.status, Finding(reply.place, reply.text)))
         self.orders.order(order, told)
 
     def put(self, request: Request, tell: Tell) -> None:
-        base = request.headers.get(b"if-match", b"").strip(b'" ')
-        checked = read(request.body)
-        if checked.is_error():
-            tell(failure(400, *checked.error))
-            return
-        known = int(base) if base.isdigit() else None
-        self.order(PutConfiguration(known, checked.ok.version, request.body), tell)
+        base = version_in(request.headers.get(b"if-match", b""))
+        key = digest(request.body)
+        findings = () if base is not None else (
+            Finding("If-Match", "is to say the version that this one builds on, or 0"),)
+        version = self.sound.get(key)
+        if version is None:
+            checked = read(request.body)
+            if checked.is_error():
+                findings += checked.error
+            else:
+                version = self.sound[key] = checked.ok.version
+                if len(self.sound) > SOUND:
+                    del self.sound[next(iter(self.sound))]
+        if findings:
+            tell(failure(400, *findings))
+        else:
+            self.order(PutConfiguration(base, version, request.body), tell)
 
     def get(self, request: Request, tell: Tell) -> None:
         def told(state) -> None:
             if state is None:
-                tell(failure(503, Finding("", "the control state is not to be had here"), headers=AGAIN))
+                tell(UNAVAILABLE)
             elif not state.get("configuration"):
                 tell(failure(404, Finding("configuration", "none was put yet")))
             else:
@@ -66,10 +94,10 @@
         self.orders.read(told)
 
     def evacuate(self, request: Request, tell: Tell, zone: bytes) -> None:
-        self.order(Evacuate(zone.decode(errors="replace")), tell)
+        self.order(Evacuate(unquote(zone, errors="replace")), tell)
 
     def take_back(self, request: Request, tell: Tell, zone: bytes) -> None:
-        self.order(Return(zone.decode(errors="replace")), tell)
+        self.order(Return(unquote(zone, errors="replace")), tell)
 
     def tell_status(self, request: Request, tell: Tell) -> None:
         """From this member's memory, also where there is no primary."""
--- /dev/null
+++ b/tests/controlplane/test_operators_api.py
@@ -0,0 +1,146 @@
+"""The operators' calls, from requests to replies, on a control state that is a plain dict."""
+import doctest
+from types import SimpleNamespace
+
+import orjson
+import pytest
+
+import shedgrade.controlplane.operators
+from shedgrade.controlplane.operators import SOUND, Operators, version_in
+from shedgrade.controlplane.orders import Reply as Outcome
+from shedgrade.controlplane.orders import make_decide
+from shedgrade.httpd import Request
+
+
+class Orders:
+    """Decides at once; `there`: whether a primary is to be had."""
+
+    def __init__(self):
+        self.state, self.there, self.seen = {}, True, []
+        self.decide = make_decide({"north-a": "north", "söuth": "south"})
+
+    def order(self, order, tell):
+        self.seen.append(order)
+        if not self.there:
+            tell(None)
+            return
+        decision = self.decide(self.state, order)
+        self.state.update(decision.changes)
+        tell(decision.outcome)
+
+    def read(self, tell):
+        tell(self.state if self.there else None)
+
+
+@pytest.fixture
+def place():
+    orders = Orders()
+    operators = Operators(orders, lambda: {"role": "primary"})
+
+    def call(method, path, body=b"", **headers):
+        replies = []
+        named = {name.replace("_", "-").encode(): value for name, value in headers.items()}
+        operators.handle(Request(method.encode(), path.encode(), {}, named, body), replies.append)
+        reply, = replies
+        return reply
+    return SimpleNamespace(orders=orders, operators=operators, call=call)
+
+
+def configuration(version, **more):
+    return orjson.dumps({"configVersion": version, "serviceList": [{"name": "s"}], "routeList": [
+        {"host": "h", "pathPrefix": "/", "service": "s", **more}]})
+
+
+def found(reply):
+    return [(one["place"], one["text"]) for one in orjson.loads(reply.body)["findings"]]
+
+
+def test_a_configuration_is_put_and_read_back(place):
+    assert place.call("GET", "/configuration").status == 404
+    raw = configuration(7)
+    assert place.call("PUT", "/configuration", raw, if_match=b"0").status == 200
+    reply = place.call("GET", "/configuration")
+    assert (reply.status, reply.body, reply.content_type) == (200, raw, b"application/json")
+    reply = place.call("PUT", "/configuration", configuration(9), if_match=b"0")
+    assert reply.status == 412 and found(reply) == [("If-Match", "version 7 is in place")]
+    reply = place.call("PUT", "/configuration", configuration(5), if_match=b"7")
+    assert reply.status == 400 and found(reply)[0][0] == "configVersion"
+    assert place.call("GET", "/configuration").body == raw
+
+
+def test_what_is_invalid_never_becomes_an_order(place):
+    reply = place.call("PUT", "/configuration", configuration(7, timeoutMs=0, service="none"), if_match=b"0")
+    assert reply.status == 400
+    assert [where for where, _ in found(reply)] == ["routeList[0].timeoutMs", "routeList[0].service"]
+    assert place.call("PUT", "/configuration", b"", if_match=b"0").status == 400
+    assert place.orders.seen == []
+
+
+@pytest.mark.parametrize("header", [{}, {"if_match": b"*"}, {"if_match": b""}, {"if_match": b"5, 6"},
+                                    {"if_match": b"9" * 30}])
+def test_the_version_it_builds_on_must_be_said(place, header):
+    reply = place.call("PUT", "/configuration", configuration(7), **header)
+    assert reply.status == 400 and found(reply)[0][0] == "If-Match" and place.orders.seen == []
+    reply = place.call("PUT", "/configuration", configuration(7, timeoutMs=0), **header)
+    assert [where for where, _ in found(reply)] == ["If-Match", "routeList[0].timeoutMs"]
+
+
+def test_versions_may_be_written_as_entity_tags():
+    assert [version_in(header) for header in (b"5", b' "5" ', b'W/"5"', b"-5", b"5.0", b"")
+            ] == [5, 5, 5, None, None, None]
+    assert doctest.testmod(shedgrade.controlplane.operators).failed == 0
+
+
+def test_a_repeat_is_not_checked_again(place, monkeypatch):
+    checks = []
+    real = shedgrade.controlplane.operators.read
+    monkeypatch.setattr(shedgrade.controlplane.operators, "read", lambda raw: checks.append(raw) or real(raw))
+    for _ in range(3):
+        assert place.call("PUT", "/configuration", configuration(7), if_match=b"0").status == 200
+    assert len(checks) == 1
+    for _ in range(2):
+        assert place.call("PUT", "/configuration", b"[]", if_match=b"0").status == 400
+    assert len(checks) == 3
+    for version in range(8, 40):
+        place.call("PUT", "/configuration", configuration(version), if_match=b"%d" % (version - 1))
+    assert len(place.operators.sound) == SOUND
+
+
+def test_zones_are_emptied_by_name(place):
+    assert place.call("POST", "/evacuation/north-a").status == 200
+    assert place.call("POST", "/evacuation/s%C3%B6uth").status == 200
+    assert orjson.loads(place.orders.state["evacuations"]) == ["north-a", "söuth"]
+    assert place.call("DELETE", "/evacuation/north-a").status == 200
+    assert orjson.loads(place.orders.state["evacuations"]) == ["söuth"]
+    reply = place.call("POST", "/evacuation/west")
+    assert reply.status == 404 and found(reply) == [("west", "no such zone")]
+    assert place.call("POST", "/evacuation/%ff").status == 404
+
+
+def test_calls_that_there_are_not(place):
+    reply = place.call("POST", "/configuration")
+    assert (reply.status, reply.headers) == (405, ((b"Allow", b"GET, PUT"),)) and found(reply)
+    assert dict(place.call("GET", "/evacuation/north-a").headers)[b"Allow"] == b"DELETE, POST"
+    for path in ("/", "/evacuation", "/evacuation/", "/evacuation/a/b", "/configuration/"):
+        assert place.call("GET", path).status == 404
+
+
+def test_without_a_primary_callers_are_told_to_come_again(place):
+    place.orders.there = False
+    for call in (("PUT", "/configuration", configuration(7)), ("GET", "/configuration"),
+                 ("POST", "/evacuation/north-a"), ("DELETE", "/evacuation/north-a")):
+        reply = place.call(*call, if_match=b"0")
+        assert reply.status == 503 and 0 < float(dict(reply.headers)[b"Retry-After"]) < 1
+    assert orjson.loads(place.call("GET", "/status").body) == {"role": "primary"}
+
+
+def test_a_status_of_the_decision_is_passed_on(place):
+    place.orders.order = lambda order, tell: tell(Outcome(409, "a reason", "there"))
+    reply = place.call("POST", "/evacuation/north-a")
+    assert reply.status == 409 and found(reply) == [("there", "a reason")]
+
+
+def test_without_a_status_there_is_no_such_call():
+    replies = []
+    Operators(Orders()).handle(Request(b"GET", b"/status"), replies.append)
+    assert replies[0].status == 404
