Directory: calls by the tree, an own edge stays beside its region's

The thin answer dropped a zone's single edge if the client named another region, and took any verb. Both are mended; tests cover zones, regions, readiness and the bound of 64 addresses.

--- a/shedgrade/controlplane/directory.py
+++ b/shedgrade/controlplane/directory.py
@@ -1,4 +1,8 @@
-"""The directory: which edges a client may go to."""
+"""The directory: which edges a client may go to.
+
+Source: PROTOCOL, "Ingress". Clients draw one of the addresses for each new connection and skip those that
+failed them, so an answer has to hold an alternative where there is one.
+"""
 from collections.abc import Iterable, Mapping
 from random import Random
 
@@ -7,29 +11,46 @@
 from shedgrade.findings import Finding
 from shedgrade.httpd import Reply, Request, failure
 from shedgrade.knowledge import EdgeSeen
+from shedgrade.matching.calls import CallTree, Match, NotAllowed
 
-MOST = 64
-FEW = 2
-TTL = 1
+MOST = 64               # addresses that an answer may hold
+FEW = 2                 # edges below which a zone's own are not enough: one of them may have died
+TTL = 1                 # s that an answer counts
 
 
 class Directory:
     """Answers `GET /resolution` from the edges that are known."""
 
     def __init__(self, zones: Mapping[str, str], random: Random, bounds: Mapping[str, float]) -> None:
+        """`zones`: their regions; `bounds`: `ttl_max_s`, above which no answer counts."""
         self.zones, self.random, self.ttl = zones, random, min(TTL, bounds["ttl_max_s"])
+        self.calls = CallTree()
+        self.calls.add(b"GET", b"/resolution", self.resolution)
 
     def handle(self, request: Request, edges: Iterable[EdgeSeen]) -> Reply:
-        if request.path != b"/resolution":
-            return failure(404, Finding("request", "no such call"))
+        """`edges`: those heard lately that do not leave."""
+        match self.calls.find(request.method, request.path):
+            case Match(call):
+                return call(request, edges)
+            case NotAllowed(allowed):
+                return failure(405, Finding("request", "this verb is none of the call's"),
+                               headers=((b"Allow", b", ".join(allowed)),))
+            case _:
+                return failure(404, Finding("request", "no such call"))
+
+    def resolution(self, request: Request, edges: Iterable[EdgeSeen]) -> Reply:
         return self.resolve(request.query.get("region", ""), request.query.get("zone", ""), edges)
 
     def resolve(self, region: str, zone: str, edges: Iterable[EdgeSeen]) -> Reply:
+        """The ready edges of the client's zone; with fewer than two there, all of its region; with none
+        there, all. At most 64, drawn by chance. 503 where no edge is ready."""
         ready = [edge for edge in edges if edge.ready and edge.front]
         near = [edge for edge in ready if edge.zone == zone]
         if len(near) < FEW:
-            near = [edge for edge in ready if edge.region == (region or self.zones.get(zone))] or ready
+            region = region or self.zones.get(zone, "")
+            near = [edge for edge in ready if edge.zone == zone or edge.region == region] or ready
         if not near:
             return failure(503, Finding("", "no edge is ready"))
         chosen = self.random.sample(near, MOST) if len(near) > MOST else near
-        return Reply(200, msgspec.json.encode({"addressList": [edge.front for edge in chosen], "ttlS": self.ttl}))
+        addresses = [edge.front for edge in chosen]
+        return Reply(200, msgspec.json.encode({"addressList": addresses, "ttlS": self.ttl}))
--- /dev/null
+++ b/tests/controlplane/test_directory.py
@@ -0,0 +1,102 @@
+"""The directory: which edges clients are sent to."""
+from random import Random
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shedgrade.controlplane.directory import MOST, Directory
+from shedgrade.httpd import Request
+from shedgrade.knowledge import READY, STARTING, EdgeSeen
+
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+
+
+def edge(number, zone="north-a", state=READY, front=True):
+    return EdgeSeen(name=f"edge-{number}", front=f"10.0.0.{number}:80" if front else "", zone=zone,
+                    region=ZONES.get(zone, ""), life=1, state=state)
+
+
+@pytest.fixture
+def directory():
+    return Directory(ZONES, Random(1), {"ttl_max_s": 5})
+
+
+def resolved(directory, edges, region="north", zone="north-a"):
+    """The numbers of the edges in an answer."""
+    query = {"name": "h", "region": region, "zone": zone}
+    reply = directory.handle(Request(b"GET", b"/resolution", query), edges)
+    assert reply.status == 200 and reply.content_type == b"application/json"
+    told = orjson.loads(reply.body)
+    assert set(told) == {"addressList", "ttlS"} and 0 < told["ttlS"] <= 5
+    return [int(address.rpartition(":")[0].rpartition(".")[2]) for address in told["addressList"]]
+
+
+def test_clients_go_to_their_own_zone(directory):
+    edges = [edge(1), edge(2), edge(3, "north-b"), edge(4, "south-a")]
+    assert resolved(directory, edges) == [1, 2]
+
+
+def test_a_single_edge_has_alternatives_in_its_region(directory):
+    edges = [edge(1), edge(3, "north-b"), edge(4, "south-a")]
+    assert resolved(directory, edges) == [1, 3]
+    assert resolved(directory, edges, region="") == [1, 3]
+    assert resolved(directory, edges, "south", "south-a") == [4]
+
+
+def test_without_edges_in_the_region_any_will_do(directory):
+    edges = [edge(4, "south-a"), edge(5, "south-a")]
+    assert resolved(directory, edges) == [4, 5]
+    assert resolved(directory, edges, "west", "west-a") == [4, 5]
+    assert resolved(directory, edges, "", "") == [4, 5]
+
+
+def test_an_edge_of_the_zone_stays_where_its_region_is_told_otherwise(directory):
+    assert resolved(directory, [edge(1), edge(4, "south-a")], region="west") == [1]
+
+
+def test_only_ready_edges_are_told(directory):
+    edges = [edge(1, state=STARTING), edge(2, front=False), edge(3, "north-b"), edge(4)]
+    assert resolved(directory, edges) == [3, 4]
+
+
+def test_a_bounded_number_is_drawn(directory):
+    edges = [edge(number) for number in range(1, 200)]
+    first, second = resolved(directory, edges), resolved(directory, edges)
+    assert len(set(first)) == len(set(second)) == MOST and set(first) != set(second)
+
+
+def test_no_edge_that_is_ready(directory):
+    for edges in ([], [edge(1, state=STARTING)]):
+        reply = directory.handle(Request(b"GET", b"/resolution"), edges)
+        assert reply.status == 503 and orjson.loads(reply.body)["findings"]
+
+
+def test_an_answer_counts_no_longer_than_it_may():
+    directory = Directory(ZONES, Random(1), {"ttl_max_s": 0.5})
+    assert orjson.loads(directory.resolve("north", "north-a", [edge(1)]).body)["ttlS"] == 0.5
+
+
+def test_other_calls(directory):
+    assert directory.handle(Request(b"GET", b"/"), [edge(1)]).status == 404
+    reply = directory.handle(Request(b"POST", b"/resolution"), [edge(1)])
+    assert (reply.status, reply.headers) == (405, ((b"Allow", b"GET"),))
+
+
+@given(st.lists(st.sampled_from(sorted(ZONES)), max_size=80), st.sampled_from(["", "north", "south", "west"]),
+       st.sampled_from(["", "west-a", *ZONES]))
+def test_nobody_is_sent_far_who_has_edges_near(zones, region, zone):
+    edges = [edge(number, zone) for number, zone in enumerate(zones)]
+    reply = Directory(ZONES, Random(1), {"ttl_max_s": 5}).resolve(region, zone, edges)
+    if not edges:
+        assert reply.status == 503
+        return
+    by_front = {one.front: one for one in edges}
+    chosen = [by_front[address] for address in orjson.loads(reply.body)["addressList"]]
+    assert 0 < len(chosen) == len({one.name for one in chosen}) <= MOST
+    own = [one for one in edges if one.zone == zone]
+    if len(own) > 1:
+        assert all(one.zone == zone for one in chosen)
+    elif own:
+        assert own[0] in chosen
