Configurations are read by the parser that data planes use

Two parsers differ in very large numbers and deep nesting, so what one accepted the other might not read. The check uses the data planes' parser now, and a version that fits no field it travels in is a finding.

--- a/shedgrade/controlplane/configuration.py
+++ b/shedgrade/controlplane/configuration.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import msgspec
-import orjson
 from expression import Error, Ok, Result
 from serde import SerdeError, deserialize, disabled, from_dict
 
@@ -31,6 +30,7 @@
 for _model in (Split, Route, Model, InferenceEngine, Service, Limits):
     deserialize(_model, type_check=disabled)
 
+LARGEST = 1 << 63       # below which a version fits all that it travels in
 CALLED = {str: "a string", int: "a whole number", float: "a number", bool: "true or false"}
 
 
@@ -38,15 +38,15 @@
     """The configuration in these bytes, or at most a hundred findings, in the order of its fields. Never
     raises."""
     try:
-        data = orjson.loads(raw)
-    except orjson.JSONDecodeError as wrong:
+        data = msgspec.json.decode(raw)     # as data planes do: what they can't read must not be taken
+    except (msgspec.DecodeError, ValueError, RecursionError) as wrong:
         return Error((Finding("", f"cannot be read: {wrong}"),))
     findings = Findings()
     if not isinstance(data, dict):
         return Error((Finding("", "is no object"),))
     version, routes, services, limits = (one_field(one, data, findings) for one in layout(Configuration))
-    if version is not None and version <= 0:
-        findings.add("configVersion", "is not above 0")
+    if version is not None and not 0 < version < LARGEST:
+        findings.add("configVersion", "is not above 0" if version <= 0 else "is too large")
     known = {one.get("name") for one in services or () if isinstance(one, dict)
              if isinstance(one.get("name"), str)}
     checks = Checks(findings, known)
--- a/tests/controlplane/test_configuration.py
+++ b/tests/controlplane/test_configuration.py
@@ -132,6 +132,7 @@
     (("configVersion", -3), ["configVersion"]),
     (("configVersion", 1.5), ["configVersion"]),
     (("configVersion", "7"), ["configVersion"]),
+    (("configVersion", 1 << 63), ["configVersion"]),
     (("configVersion", True), ["configVersion"]),
     (("configVersion", del_), ["configVersion"]),
     (("routeList", del_), ["routeList"]),
@@ -189,7 +190,9 @@
 
 
 @pytest.mark.parametrize("raw", [b"", b"{", b"[]", b"3", b"null", b"\xff", orjson.dumps(EXAMPLE)[:-1],
-                                 b'{"configVersion":NaN}', b"[" * 100_000])
+                                 orjson.dumps(EXAMPLE) + b"}", b'{"configVersion":NaN}',
+                                 b'{"configVersion":1e400}', b'{"a":"\xff"}', b'{"a":"\\ud800"}',
+                                 b"[" * 100_000, b'{"a":' * 100_000])
 def test_what_cannot_be_read_whole(raw):
     assert len(found(raw)) == 1
 
