--- a/shedgrade/controlplane/configuration.py
+++ b/shedgrade/controlplane/configuration.py
@@ -12,7 +12,6 @@
 
 import msgspec
 from expression import Error, Ok, Result
-from serde import SerdeError, deserialize, disabled, from_dict
 
 from shedgrade.configuration import (
     Configuration,
@@ -25,6 +24,7 @@
     Split,
     layout,
 )
+from shedgrade.controlplane.light import SerdeError, deserialize, disabled, from_dict
 from shedgrade.findings import Finding, Findings
 
 for _model in (Split, Route, Model, InferenceEngine, Service, Limits):
--- a/tests/controlplane/test_configuration.py
+++ b/tests/controlplane/test_configuration.py
@@ -1,5 +1,8 @@
 """Configurations: what is read from them, what is invalid, and where it is said to be so."""
 import copy
+import subprocess
+import sys
+from pathlib import Path
 
 import orjson
 import pytest
@@ -240,6 +243,15 @@
     assert read(raw).is_error()
 
 
+def test_no_array_library_is_loaded_for_the_check():
+    """NumPy stays importable for others, but the control plane's process has none of it."""
+    program = ("import sys; from shedgrade.controlplane.configuration import read;"
+               "assert read(sys.stdin.buffer.read()).is_ok();"
+               "assert not [name for name in sys.modules if name.partition('.')[0] == 'numpy']")
+    subprocess.run([sys.executable, "-c", program], input=orjson.dumps(EXAMPLE), check=True,
+                   cwd=Path(__file__).parents[2])
+
+
 def test_the_weights_of_one_service_named_twice_are_added():
     data = changed(("routeList", 0, "weightedSplit", [{"service": "huvo11a", "weight": 1}] * 2))
     route = taken(data).routes[0]
