--- a/shedgrade/replication/ballot.py
+++ b/shedgrade/replication/ballot.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .held import merge, size
+from .held import size
 from .messages import (
     EpochRecord,
     Fetch,
@@ -17,7 +17,6 @@
     Promise,
     Refusal,
     Transfer,
-    count,
     is_quorum,
     majority,
     matches,
@@ -38,7 +37,7 @@
         self.record: EpochRecord | None = None
         self.change = None
         self.avoid: frozenset[int] = frozenset()
-        self.resend_at = self.since = self.prepared = self.ends = 0.0
+        self.resend_at = self.since = self.prepared = self.ends = self.late_at = self.alive_at = 0.0
         self.best: Promise | None = None
         self.sent: dict[int, float] = {}
 
@@ -177,7 +176,7 @@
             members = [(known.get(peer.address, 0), peer.address) for peer in base.members]
             return tuple(Peer(who, names.get(who, ""), address) for who, address in members), base.members
         members = base.members
-        if self.change is not None and base.number == self.member.held.record.number:
+        if self.change is not None and base.number == self.change.number:
             members = self.change(members)
         return members, base.members
 
@@ -194,7 +193,9 @@
     def install(self, now: float, mark, state) -> None:
         member, held, number = self.member, self.member.held, self.number
         self.phase, self.resend_at = "install", now + member.timing.resend
-        self.ends = now + member.timing.ballot + size(state) / member.timing.bytes_per_second
+        allowed = size(state) / member.timing.bytes_per_second
+        self.ends = now + member.timing.ballot + allowed
+        self.late_at, self.alive_at = now + member.timing.silent + allowed, now + member.timing.heartbeat
         if mark != held.mark:
             member.lead.abandon(now)   # the orders decided here are not in the chain that goes on
         held.install(now, self.record, mark, state, {} if mark == held.mark else None,
@@ -233,6 +234,8 @@
             for incarnation in self.record.holders:
                 if incarnation not in self.installed and now >= self.sent.get(incarnation, now + 1):
                     self.send_install(now, incarnation)
+            self.keep_alive(now)
+            self.replace_late(now)
         elif now >= self.resend_at:
             if self.phase == "prevote":
                 self.ask_pre_vote(now)
@@ -242,12 +245,30 @@
                     self.ask_promises(now)
             elif self.phase == "fetch":
                 self.fetch(now)
+                self.keep_alive(now)
+
+    def keep_alive(self, now: float) -> None:
+        """A long transfer goes on: nobody else should stand meanwhile."""
+        if now >= self.alive_at:
+            self.alive_at = now + self.member.timing.heartbeat
+            held = self.member.held
+            self.member.broadcast(Prepare(held.incarnation, self.number, held.record), ())
+
+    def replace_late(self, now: float) -> None:
+        """A chosen holder doesn't write: begin again with another, where there is one."""
+        late = frozenset(who for who in self.record.holders if who not in self.installed)
+        if now < self.late_at or not late:
+            return
+        others = [who for who in self.promises if who not in self.record.holders and who not in self.avoid]
+        if len(others) >= len(late - self.avoid) > 0 and self.member.held.incarnation not in late:
+            self.start(now, self.change, self.avoid | late)
 
     def wake_at(self) -> float:
         if not self.phase:
             return float("inf")
         if self.phase == "install":
-            return min([self.ends] + [at for who, at in self.sent.items() if who not in self.installed])
+            late = [at for who, at in self.sent.items() if who not in self.installed]
+            return min([self.ends, self.alive_at, *late])
         return self.ends if self.phase == "promise" else min(self.ends, self.resend_at)
 
 
@@ -257,5 +278,3 @@
     def __init__(self, incarnation: int, address: str, founding: bool):
         self.incarnation, self.address, self.founding = incarnation, address, founding
 
-
-__all__ = ["Ballot", "Voter", "count", "merge"]
--- a/shedgrade/replication/member.py
+++ b/shedgrade/replication/member.py
@@ -39,8 +39,10 @@
             elif member.lead.active:
                 member.lead.read(now, ticket) if read else member.lead.order(now, ticket, request)
                 continue
-            elif member.primary and member.hears_primary(now):
+            elif member.hears_primary(now) and member.primary != member.address:
                 outcome = Elsewhere(member.primary)
+            elif member.is_hinted(now):
+                outcome = Elsewhere(member.primary_hint)
             elif now >= until:
                 outcome = Unclear() if shipped else Unavailable()
             else:
@@ -80,7 +82,8 @@
         self.primary: str | None = None
         self.primary_hint: str | None = None
         self.heard_at, self.stand_at = now, now
-        self.known_at = NEVER
+        self.known_at = self.hinted_at = NEVER
+        self.candidate_until = NEVER
         self.born_at = now
         self.born = False
         self.leaving, self.left_by, self.gone = False, 0.0, False
@@ -122,7 +125,7 @@
         self.now = now
         if len(self.lead.queue) + len(self.waiting.entries) >= self.QUEUE:
             self.effects.append(Answer(ticket, Unavailable()))
-        elif self.lead.active or self.ballot.phase in ("promise", "prepare", "fetch", "install"):
+        elif self.acts():
             self.lead.order(now, ticket, request)
         else:
             self.waiting.add(now, ticket, request)
@@ -142,6 +145,8 @@
         self.now = now
         if not self.leaving:
             self.leaving, self.left_by = True, now + self.timing.handover
+            if self.held.is_holder() and self.hears_primary(now) and not self.acts():
+                self.voting.ack(now, self.primary, self.held.record.number, 0)   # another holder is wanted
         self.tick(now)
 
     def tick(self, now: float) -> None:
@@ -251,11 +256,20 @@
             return False
         return held.record.number > 0 or self.joining.founded_enough(now)
 
+    def acts(self) -> bool:
+        """As primary, or as candidate after the pre-vote."""
+        return self.lead.active or self.ballot.phase not in ("", "prevote")
+
+    def is_hinted(self, now: float) -> bool:
+        """Another member hears the primary, though this one doesn't."""
+        return self.primary_hint not in (None, self.address) and now - self.hinted_at < 2 * self.timing.hello
+
     def hears_primary(self, now: float) -> bool:
         return self.primary is not None and now - self.known_at < self.timing.suspect
 
     def told_primary(self, now: float, address: str) -> None:
         """Somebody else hears the primary there. It is said hello, and doesn't count as heard."""
+        self.hinted_at = now
         if address != self.primary_hint:
             self.primary_hint = address
             self.joining.hello_at = min(self.joining.hello_at, now)
@@ -334,7 +348,11 @@
         if refusal.record.active:
             self.held.learn(now, refusal.record)
         if self.lead.active and refusal.number == self.lead.epoch and refusal.promised > refusal.number:
-            self.step_down(now)   # a member has given its word to a higher number
+            # a member has given its word to a higher number; with the others at hand go on under a higher one
+            if self.lead.has_majority(now):
+                self.reform(now, None, frozenset())
+            else:
+                self.step_down(now)
         else:
             self.ballot.refused(now, refusal)
 
--- a/shedgrade/replication/messages.py
+++ b/shedgrade/replication/messages.py
@@ -135,7 +135,8 @@
 
 
 class Heartbeat(Struct, frozen=True, tag=True, array_like=True):
-    """`round` numbers the confirming rounds of the primary, 0 asks for no ack; the record goes with it to who lacks it."""
+    """`round` numbers the confirming rounds of the primary, 0 asks for no ack; the record goes with it to
+    who lacks it."""
     epoch: int
     round: int
     finished: Mark
--- a/shedgrade/replication/primary.py
+++ b/shedgrade/replication/primary.py
@@ -13,14 +13,14 @@
     """What the primary knows of one other process."""
     __slots__ = ("incarnation", "name", "address", "heard", "round", "received", "durable", "finished",
                  "record", "healthy", "leaving", "since", "sent_to", "resend_at", "learn_at", "learnt",
-                 "misses")
+                 "misses", "promised")
 
     def __init__(self, incarnation: int, name: str, address: str, now: float):
         self.incarnation, self.name, self.address = incarnation, name, address
         self.heard = self.since = now
         self.round, self.received, self.durable = 0, -1, -1
         self.finished, self.record = (0, 0), 0
-        self.healthy, self.leaving = True, False
+        self.healthy, self.leaving, self.promised = True, False, 0
         self.sent_to = -1           # the newest sequence sent
         self.resend_at = self.learn_at = 0.0
         self.learnt = (0, 0)        # the newest finished mark sent
@@ -49,7 +49,8 @@
         self.open: deque[tuple[int, dict, float]] = deque()   # not finished: sequence, changes, late after
         self.round = self.confirmed = 0
         self.beat_at = self.majority_at = self.began = 0.0
-        self.acting = False
+        self.enough = self.complete = False
+        self.incomplete_since: float | None = None
         self.latest: dict[str, int] = {}        # address -> the incarnation that spoke last from there
         self.own_durable = -1
 
@@ -61,7 +62,10 @@
         held.learn(now, record)
         self.active, self.epoch = True, record.number
         self.holders = tuple(each for each in record.holders if each != held.incarnation)
-        self.acting = len(record.holders) > member.tolerated
+        if self.incomplete_since is None:
+            self.incomplete_since = now
+        self.enough = len(record.holders) > member.tolerated
+        self.complete = len(record.members) > 2 * member.tolerated
         members = {peer.incarnation: peer for peer in record.members}
         kept = {}
         for incarnation, old in self.followers.items():
@@ -95,6 +99,7 @@
         self.active = False
         self.open.clear()
         self.followers = {}
+        self.incomplete_since = None
         pending, self.pending = self.pending, deque()
         for each in pending:
             self.member.waiting.add(now, each.ticket, None, shipped=not each.read, read=each.read)
@@ -104,6 +109,12 @@
 
     # --- orders
 
+    def acts(self, now: float) -> bool:
+        """Fewer holders than may be lost and one keep nothing safe. Of fewer members than 2t + 1 no
+        majority may be
+        left: newcomers get a while to join before the first answer."""
+        return self.enough and (self.complete or now - self.incomplete_since >= self.member.timing.incomplete)
+
     def order(self, now: float, ticket: int, request) -> None:
         self.queue.append((now, ticket, request))
         self.advance_queue(now)
@@ -120,7 +131,7 @@
 
     def advance_queue(self, now: float) -> None:
         member, held = self.member, self.member.held
-        while self.active and self.acting and self.queue and len(self.open) < member.PIPELINE:
+        while self.active and self.acts(now) and self.queue and len(self.open) < member.PIPELINE:
             changes, state, replies = {}, held.state, []
             while self.queue:
                 _, ticket, request = self.queue.popleft()
@@ -237,7 +248,7 @@
         self.latest[sender] = ack.incarnation
         follower.record = max(follower.record, ack.record)
         follower.finished = ack.finished    # it may know less than before: it was started anew
-        follower.healthy, follower.leaving = ack.healthy, ack.leaving
+        follower.healthy, follower.leaving, follower.promised = ack.healthy, ack.leaving, ack.promised
         if not self.active or ack.epoch != self.epoch:
             return
         if ack.incarnation in self.holders and ack.promised == self.epoch:
@@ -296,8 +307,16 @@
             self.majority_at = now
         elif now - self.majority_at > timing.deaf - timing.silent:
             return self.member.step_down(now)   # cut off, perhaps one way: others must be able to take over
+        self.advance_queue(now)
         self.mend(now)
 
+    def has_majority(self, now: float) -> bool:
+        """Whether a majority of the members was heard lately and has given its word to none after this
+        epoch."""
+        held = self.member.held
+        heard = [f for i, f in self.followers.items() if held.names(i) and self.heard_lately(now, f)]
+        return 1 + sum(f.promised <= self.epoch for f in heard) > len(held.record.members) // 2
+
     def is_able(self, now: float, follower: Follower) -> bool:
         return self.heard_lately(now, follower) and follower.healthy and not follower.leaving
 
--- a/shedgrade/replication/voting.py
+++ b/shedgrade/replication/voting.py
@@ -29,13 +29,14 @@
 
     def pre_vote(self, now: float, sender: str, question: PreVote) -> None:
         member, held = self.member, self.member.held
-        granted = (member.is_voter() and member.saving.healthy(now) and not member.lead.active
-                   and (not member.hears_primary(now) or question.incarnation == held.record.primary))
+        granted = (member.is_voter() and member.saving.healthy(now) and not member.acts()
+                   and (not member.hears_primary(now) or question.incarnation == held.record.primary)
+                   and (now >= member.candidate_until or question.incarnation == held.promise[1]))
         if granted and member.may_stand(now) and now < member.heard_at + 3 * member.timing.suspect and (
                 question.accepted, question.sequence) < (held.accepted, held.mark[1]):
             granted = False   # this holder has newer state and misses the primary too: it stands itself
         record = held.record if held.record.active and held.record.number > question.record else None
-        primary = member.primary if member.hears_primary(now) or member.lead.active else None
+        primary = member.primary if member.hears_primary(now) else None
         member.send(sender, PreVoteReply(held.incarnation, held.founding, question.number, granted,
                                          max(held.promise[0], member.highest), primary, record))
 
@@ -48,11 +49,13 @@
         number, candidate = prepare.number, prepare.incarnation
         member.highest = max(member.highest, number)
         if held.promise == (number, candidate):
+            if number > held.record.number or not held.record.active:
+                member.candidate_until = now + member.timing.suspect   # at work, perhaps on a long transfer
             if member.promised == number:
                 member.send(sender, member.own_promise(number))
         elif number > held.promise[0]:
             member.step_down(now)
-            member.heard_at = max(member.heard_at, now - member.timing.suspect / 2)   # let it have its try
+            member.candidate_until = now + member.timing.suspect   # let it have its try
             held.promise_to(now, number, candidate, lambda at: self.promised(sender, number))
         else:
             self.refuse(sender, number)
--- a/shedgrade/simulation/machine.py
+++ b/shedgrade/simulation/machine.py
@@ -22,7 +22,7 @@
         self.sync, self.stalled, self.full = 0.005, False, False
         self.answers: dict[int, object] = {}          # ticket -> callback(outcome)
         self.finished = (0, 0)
-        self.started = 0.0
+        self.offset = world.random.random() * 1e5     # steady clocks have nothing in common
 
     @property
     def up(self) -> bool:
@@ -35,11 +35,11 @@
         if self.member is not None:
             return
         self.generation += 1
-        self.finished, self.started, self.wake = (0, 0), world.clock.now, float("inf")
+        self.finished, self.wake = (0, 0), float("inf")
         self.member = world.member_class(
             self.name, self.address, founding=founding, seeds=world.seeds, tolerated=world.tolerated,
-            found=dict(self.durable), random=Random(world.random.getrandbits(64)), now=world.clock.now,
-            decide=world.decide)
+            found=dict(self.durable), random=Random(world.random.getrandbits(64)),
+            now=world.clock.now + self.offset, decide=world.decide, timing=world.timing)
         world.log("start", self.name)
         self.drain()
 
@@ -100,14 +100,14 @@
 
     def call(self, name: str, *args) -> None:
         if self.member is not None:
-            getattr(self.member, name)(self.world.clock.now, *args)
+            getattr(self.member, name)(self.world.clock.now + self.offset, *args)
             self.drain()
 
     def receive(self, sender: str, message) -> None:
         if self.frozen:
             self.missed.append((self.receive, (sender, message)))
         elif self.member is not None:
-            self.member.receive(self.world.clock.now, sender, message)
+            self.member.receive(self.world.clock.now + self.offset, sender, message)
             self.drain()
 
     def ask(self, kind: str, request, answer) -> None:
@@ -137,6 +137,7 @@
         now = self.world.clock.now
         if now >= self.wake:
             self.wake = float("inf")
+        now += self.offset
         if now >= self.member.wake_at():
             self.member.tick(now)
         self.drain()
@@ -160,9 +161,12 @@
                     world.history.finished(world.clock.now, self, effect)
                 elif kind is Left:
                     world.clock.after(0.0, self.left, self.generation)
-                if self.member is not member:   # an answer may have cost the power
+                if self.member is not member or self.frozen:   # an ambush or an answer may have ended it
+                    if self.frozen:
+                        self.missed.append((self.drain, ()))
+                        effects[:0] = todo[todo.index(effect) + 1:]
                     return
-        wake = max(member.wake_at(), world.clock.now + 0.0005)
+        wake = max(member.wake_at() - self.offset, world.clock.now + 0.0005)
         if wake < self.wake:
             self.wake = wake
             world.clock.at(wake + 0.001 * world.random.random(), self.tick, self.generation)
--- a/shedgrade/simulation/nemesis.py
+++ b/shedgrade/simulation/nemesis.py
@@ -1,6 +1,18 @@
 """Troubles by seed: what a deployment's days hold for core machines."""
 from __future__ import annotations
 
+from shedgrade.replication.messages import (
+    Ack,
+    Fetch,
+    HandOver,
+    Heartbeat,
+    Install,
+    Installed,
+    Prepare,
+    Promise,
+    Replicate,
+)
+
 CATCH_UP = 4.0
 
 
@@ -71,7 +83,7 @@
         self.clock.after(seconds, once)
 
     def some(self) -> float:
-        return self.random.choice((0.2, 0.6, 1.5, 3.0, 6.0)) * (0.5 + self.random.random())
+        return self.random.choice((0.2, 0.6, 0.9, 1.2, 3.0, 6.0)) * (0.5 + self.random.random())
 
     # --- troubles
 
@@ -215,6 +227,54 @@
             network.cut(*pair)
         self.for_a_while(seconds, lambda: [network.join(*pair) for pair in pairs])
 
+    def founding_trouble(self) -> None:
+        """Founders that do not hear each other at first."""
+        addresses = [machine.address for machine in self.world.machines[:3]]
+        pairs = [(a, b) for a in addresses for b in addresses if a != b and self.random.random() < 0.6]
+        seconds = 4 * self.random.random()
+        self.world.history.trouble.append((0.0, seconds))
+        for pair in pairs:
+            self.world.network.cut(*pair)
+        self.for_a_while(seconds, lambda: [self.world.network.join(*pair) for pair in pairs])
+
+    def ambush(self) -> None:
+        """Strike at the sender or receiver of the next message of a kind that matters."""
+        kind = self.random.choice(self.KINDS)
+        skip = self.random.randint(0, 3)
+
+        def look(sender: str, to: str, message) -> None:
+            nonlocal skip
+            if type(message) is not kind or self.stopped:
+                return
+            skip -= 1
+            if skip < 0:
+                self.world.network.ambush = None
+                ends = [self.world.by_address.get(each) for each in (sender, to)]
+                self.random.shuffle(ends)
+                two = self.world.profile == "storm" and self.random.random() < 0.4
+                for machine in ends if two else ends[:1]:
+                    delay = self.random.choice((0.0, 0.002, 0.01, 0.07, 0.3)) * self.random.random()
+                    self.clock.after(delay, self.strike, machine, kind.__name__)
+                if self.random.random() < 0.5:
+                    self.ambush()
+        self.world.network.ambush = look
+
+    def strike(self, machine, why: str) -> None:
+        if machine is None or self.stopped or self.pick(machine) is not machine:
+            return
+        seconds = self.random.choice((0.1, 0.3, 0.8, 1.2, 3.0)) * (0.5 + self.random.random())
+        self.lose(machine, seconds)
+        how = self.random.choice(("power", "freeze", "kill"))
+        self.world.log(f"ambush at {why}: {how} {seconds:.2f}", machine.name)
+        if how == "freeze" and not machine.frozen:
+            machine.freeze(True)
+            self.for_a_while(seconds, lambda: machine.freeze(False))
+        elif how != "freeze":
+            machine.kill(how == "power")
+            self.clock.after(seconds, machine.start)
+
+    KINDS = (Prepare, Promise, Install, Installed, Replicate, Ack, Heartbeat, Fetch, HandOver)
+
     def roll(self) -> None:
         """Every machine is told to end, one after the other, and starts again."""
         if self.world.profile == "fair" and self.lost():
@@ -300,7 +360,7 @@
 
     FAIR = ("node_kill", "power_off", "wipe", "after_ack_kill", "after_ack_wipe", "freeze", "disk_full",
             "disk_stall", "disk_slow", "link_slow", "core_cut", "core_cut_one_way", "link_cut", "region_cut",
-            "roll", "replace", "all_power", "all_killed", "wipe_and_power")
+            "roll", "replace", "ambush", "ambush", "all_power", "all_killed", "wipe_and_power")
     STORM = ("node_kill", "power_off", "after_ack_kill", "freeze", "disk_full", "disk_stall", "disk_slow",
              "link_slow", "core_cut", "core_cut_one_way", "link_cut", "link_cut", "link_cut", "region_cut",
-             "all_power", "all_killed")
+             "all_power", "all_killed", "ambush", "ambush", "ambush", "freeze")
--- a/shedgrade/simulation/network.py
+++ b/shedgrade/simulation/network.py
@@ -18,7 +18,7 @@
         self.late: dict[tuple[str, str], list] = {}
         self.slow: dict[str, float] = {}
         self.newest: dict[tuple[str, str], float] = {}
-        self.sent = 0
+        self.ambush = None     # called with each message that is sent
 
     def cut(self, sender: str, to: str) -> None:
         self.cuts[sender, to] = self.cuts.get((sender, to), 0) + 1
@@ -38,7 +38,8 @@
             del self.late[pair]
 
     def send(self, sender: str, to: str, message) -> None:
-        self.sent += 1
+        if self.ambush is not None:
+            self.ambush(sender, to, message)
         chance = self.random.random
         if (sender, to) in self.cuts:
             if chance() < self.held_up:
--- a/shedgrade/simulation/world.py
+++ b/shedgrade/simulation/world.py
@@ -3,7 +3,7 @@
 
 from random import Random
 
-from shedgrade.replication import Member
+from shedgrade.replication import Member, Timing
 
 from .checkers import check
 from .clock import Scheduler
@@ -40,12 +40,22 @@
         self.by_address: dict[str, Machine] = {}
         self.tickets = self.payloads = self.made = 0
         self.pace = chance.choice((0.1, 0.4, 1.0))
-        sync = chance.choice((0.002, 0.005))
+        sync = chance.choice((0.002, 0.005, 0.03, 0.08)[:4 if profile == "storm" else 3])
         self.seeds: tuple[str, ...] = tuple(f"10.{at % 3 + 1}.0.{at + 1}:7300" for at in range(3))
         for at in range(2 * tolerated + 1):
             self.add(f"r{at % 3}", f"10.{at % 3 + 1}.0.{at + 1}:7300", sync)
+        # some machines more than there are places
+        beyond = chance.choice((0, 1, 2) if profile == "storm" else (0, 0, 0, 1))
+        for at in range(beyond):
+            self.add(f"r{at}", f"10.{at + 1}.0.99:7300", sync)
+        self.timing = Timing()
+        if profile == "storm":   # no promise may hang on these
+            silent, deaf = chance.choice(((0.6, 0.8), (0.6, 4.0), (3.0, 6.0)))
+            self.timing = Timing(suspect=chance.choice((0.2, 0.55)), silent=silent, deaf=deaf,
+                                 replace=chance.choice((0.3, 2.5)), witness_extra=chance.choice((0.0, 0.2)))
         self.nemesis = Nemesis(self)
-        self.clients = [Operator(self, "a"), Operator(self, "b"), Counter(self, "c"), Reader(self, "d")]
+        self.clients = [Operator(self, "a"), Operator(self, "b"), Counter(self, "c"), Reader(self, "d"),
+                        Reader(self, "e")]
         self.on_ack = None
 
     def add(self, region: str, address: str, sync: float) -> Machine:
@@ -70,7 +80,7 @@
             print(f"{self.clock.now:8.3f} {what} {who}")
 
     def reachable(self) -> list[Machine]:
-        return [machine for machine in self.machines if not machine.frozen] or self.machines
+        return self.machines
 
     def acknowledged(self, machine: Machine, call) -> None:
         if self.on_ack is not None:
@@ -85,6 +95,8 @@
         for client in self.clients:
             self.clock.at(0.5 + 0.5 * self.random.random(), client.next)
         history.trouble.append((0.0, 0.3))
+        if self.profile != "calm" and self.random.random() < 0.3:
+            self.nemesis.founding_trouble()
         if self.profile != "calm":
             first = 2.0 if self.profile == "storm" else 3.0 + 4 * self.random.random()
             self.clock.at(first, self.nemesis.next)
--- /dev/null
+++ b/tests/simulation/faulty_members.py
@@ -0,0 +1,169 @@
+"""Members with one planted fault each. The checkers must find every one of them."""
+import msgspec
+
+from shedgrade.replication import Member, ballot, messages, primary, voting
+
+
+class Parted(Member):
+    """A member whose parts can be exchanged."""
+    Lead, Ballot, Voting = primary.Primary, ballot.Ballot, voting.Voting
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+
+    def make_parts(self):
+        return self.Lead(self), self.Ballot(self), self.Voting(self)
+
+
+class AnswersAfterOwnDiskOnly(Parted):
+    class Lead(primary.Primary):
+        def advance(self, now):
+            holders, self.holders = self.holders, ()
+            try:
+                super().advance(now)
+            finally:
+                self.holders = holders
+
+
+class PromisesBeforeTheSync(Parted):
+    class Voting(voting.Voting):
+        def prepare(self, now, sender, prepare):
+            held = self.member.held
+            before = held.promise
+            super().prepare(now, sender, prepare)
+            if held.promise != before and held.promise == (prepare.number, prepare.incarnation):
+                self.promised(sender, prepare.number)
+
+
+class AcksBeforeTheSync(Parted):
+    class Voting(voting.Voting):
+        def replicate(self, now, sender, write):
+            super().replicate(now, sender, write)
+            held = self.member.held
+            if held.accepted == write.epoch and held.mark[1] >= write.sequence:
+                durable, held.durable = held.durable, held.mark
+                self.ack(now, sender, write.epoch, 0)
+                held.durable = durable
+
+
+class VotesThoughWiped(Parted):
+    """Counts as the member that it was before its disk was lost, and promises as such."""
+
+    def own_promise(self, number):
+        promise = super().own_promise(number)
+        for peer in self.held.record.members:
+            if self.held.record.number and peer.incarnation and peer.address == self.address:
+                promise = msgspec.structs.replace(promise, incarnation=peer.incarnation)
+        return promise
+
+    def is_voter(self):
+        return super().is_voter() or any(peer.address == self.address for peer in self.held.record.members)
+
+
+class ReadsWithoutConfirmation(Parted):
+    class Lead(primary.Primary):
+        def next_round(self, now):
+            return 0
+
+
+class DropsWhatItFindsUnfinished(Parted):
+    """A candidate goes on from its own state only."""
+    class Ballot(ballot.Ballot):
+        def choose(self, now):
+            held = self.member.held
+            for who, each in self.promises.items():
+                if who != held.incarnation:
+                    self.promises[who] = msgspec.structs.replace(each, accepted=0, mark=(0, 0))
+            super().choose(now)
+
+
+class FoundsAlone(Parted):
+    """A founder does without the word of the others."""
+    class Ballot(ballot.Ballot):
+        def choose(self, now):
+            if self.member.held.record.number:
+                return super().choose(now)
+            normal, self.member.tolerated = (ballot.is_quorum, ballot.majority), 0
+            ballot.is_quorum, ballot.majority = (lambda record, voters: True), (lambda peers: 1)
+            try:
+                super().choose(now)
+            finally:
+                ballot.is_quorum, ballot.majority = normal
+
+        def pre_vote(self, now):
+            super().pre_vote(now) if self.member.held.record.number else self.start(now)
+
+
+class OldPrimaryIsNotFenced(Parted):
+    """A backup still acks what the primary of an epoch before sends."""
+    class Voting(voting.Voting):
+        def old(self, sender, epoch, sequence, round_):
+            held = self.member.held
+            if epoch < held.promise[0]:
+                self.member.send(sender, messages.Ack(
+                    epoch, held.incarnation, "", round_, sequence, sequence, held.finished[:2], 0, epoch, True,
+                    False))
+
+        def heartbeat(self, now, sender, beat):
+            super().heartbeat(now, sender, beat)
+            self.old(sender, beat.epoch, -1, beat.round)
+
+        def replicate(self, now, sender, write):
+            super().replicate(now, sender, write)
+            self.old(sender, write.epoch, write.sequence, 0)
+
+        def refuse(self, sender, number):
+            if self.member.held.promise[0] <= number:
+                super().refuse(sender, number)
+
+
+class ForgetsThoseBefore(Parted):
+    """A ballot asks only the members of the newest epoch met, active or not."""
+    class Ballot(ballot.Ballot):
+        def choose(self, now):
+            normal = ballot.is_quorum
+            ballot.is_quorum = lambda record, voters: (
+                messages.count(record.members, voters) >= messages.majority(record.members))
+            try:
+                super().choose(now)
+            finally:
+                ballot.is_quorum = normal
+
+
+class TellsUnfinished(Parted):
+    """The primary tells the others of a change as soon as it has decided it."""
+    class Lead(primary.Primary):
+        def write(self, now, changes, replies):
+            super().write(now, changes, replies)
+            self.member.held.finish(self.member.held.mark)
+
+
+class TakesAnOlderWord(Parted):
+    """Finished state is taken over from whoever speaks last."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        held = self.held
+
+        def finish_with(mark, state):
+            held.finished = (0, 0, {})
+            type(held).finish_with(held, mark, state)
+        held.finish_with = finish_with
+
+
+class HoldsBeforeInstalled(Parted):
+    """A holder says that it has the state before it is synced."""
+    class Voting(voting.Voting):
+        def install(self, now, sender, install):
+            super().install(now, sender, install)
+            held = self.member.held
+            if held.accepted == install.record.number:
+                self.member.send(sender, messages.Installed(held.incarnation, held.accepted))
+
+
+class TakesAnyHolders(Parted):
+    """Holders need not be members before."""
+    class Ballot(ballot.Ballot):
+        def groups(self, base, promises):
+            members, before = super().groups(base, promises)
+            return members, members
