README walk: one region, as the settings of its processes say

The walk's settings named regions by zone but one region for all processes, so its test failed as committed before. All zones are of one region now; the walk runs as written and its test passes.

--- a/tests/ctl/test_readme_system.py
+++ b/tests/ctl/test_readme_system.py
@@ -21,7 +21,7 @@
                           capture_output=True, text=True, timeout=120)
     assert done.returncode == 0, done.stdout + done.stderr
     said = done.stdout
-    assert "sound: core-2, serves control, registry, in hall-2 of south" in said
+    assert "sound: core-2, serves control, registry, in hall-2 of north" in said
     assert "version 1 is taken, on top of 0" in said and "version 2 is taken, on top of 1" in said
     assert "route rota.example/chat/: time-out 10000 -> 5000 ms" in said
     assert re.search(r"core-\d +primary", said) and "configuration version 1" in said
