Prompts that are being read count for passing over, until their first event

Cause: late digests stood behind other prompts that the same upstream was reading, which own in flight does not tell.

--- a/shedgrade/dataplane/caller.py
+++ b/shedgrade/dataplane/caller.py
@@ -31,7 +31,7 @@
         return max(self.asked.get(upstream, 0), self.spoke.get(upstream, 0))
 
     async def reach(self, upstream: int) -> bool:
-        """Whether a connection to it comes up; it is kept for the next request. True where that can't be told:
+        """Whether a connection to it comes up; it is kept for the next request. True where nothing tells:
         this side has no descriptor left, or it is known no more."""
         address = self.addresses.get(upstream)
         if address is None or self.budget.full():
--- a/shedgrade/dataplane/ingress.py
+++ b/shedgrade/dataplane/ingress.py
@@ -1,6 +1,6 @@
 """The clients' side of the data plane: requests come in, are given a route, and are answered once."""
 from shedgrade.dataplane.exchange import Exchange
-from shedgrade.dataplane.routes import ServedRoute, shared_parts
+from shedgrade.dataplane.routes import ServedRoute, prompt_tokens, shared_parts
 from shedgrade.dataplane.streams import ResumableStream
 from shedgrade.memory.flow import SMALL, Flow
 from shedgrade.memory.in_hand import Answer, Request
@@ -65,8 +65,9 @@
         if service is None or not front.room_for(len(request)):
             self.exhausted(front.come_back())
             return
-        wants = Wants(route.homes, shared_parts(known.get(b"prompt-prefix")) if route.route.session_affinity
-                      else b"", route.most, route.target)
+        key, shared = shared_parts(known.get(b"prompt-prefix")) if route.route.session_affinity else (b"", 0)
+        wants = Wants(route.homes, key, route.most, route.target,
+                      tokens=prompt_tokens(known.get(b"token-usage")), shared=shared)
         client = ResumableStream(self, front.budget, self.resume) if route.resumable else self
         until = front.clock.now() + wait * 10
         self.carried = carried = self.failed = Exchange(client, request, service, wants, route.streams,
@@ -98,7 +99,8 @@
             headers = request.headers
         else:
             headers.append((b"Last-Event-Id", last_id))
-        again = Wants(wants.homes, wants.key, wants.most, wants.target, wants.avoid | ran_on, tried)
+        again = Wants(wants.homes, wants.key, wants.most, wants.target, wants.avoid | ran_on, tried,
+                      wants.tokens, wants.shared)
         leg = Exchange(before.client, Request(request.name, request.verb, request.target, headers,
         request.body),
                        before.service, again, True, before.priority, before.until)
--- a/shedgrade/dataplane/routes.py
+++ b/shedgrade/dataplane/routes.py
@@ -43,17 +43,26 @@
         return self.tree.find(host, path)
 
 
-def shared_parts(header: bytes | None) -> bytes:
-    """The parts of a prompt that others may share: all but the last, b"" if they are too short to matter.
+def shared_parts(header: bytes | None) -> tuple[bytes, int]:
+    """The parts of a prompt that others may share, all but the last, and their tokens; b"" and 0 if they are
+    too short to matter.
 
     >>> shared_parts(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250")
-    b'5c1e07a2:800,91bd3f06:410'
+    (b'5c1e07a2:800,91bd3f06:410', 1210)
     """
-    if not header:
-        return b""
-    shared = header.rpartition(b",")[0]
+    shared = (header or b"").rpartition(b",")[0]
     try:
         tokens = sum(int(part.rpartition(b":")[2]) for part in shared.split(b",")) if shared else 0
     except ValueError:
-        return b""
-    return shared if tokens >= LEAST_SHARED else b""
+        return b"", 0
+    return (shared, tokens) if tokens >= LEAST_SHARED else (b"", 0)
+
+
+def prompt_tokens(header: bytes | None) -> int:
+    """The tokens of the prompt, of `Token-Usage`; 0 if it doesn't say.
+
+    >>> prompt_tokens(b"1460,80"), prompt_tokens(None)
+    (1460, 0)
+    """
+    first = (header or b"").partition(b",")[0].strip()
+    return int(first) if first.isdigit() and len(first) < 10 else 0
--- a/shedgrade/serving/balancer.py
+++ b/shedgrade/serving/balancer.py
@@ -67,9 +67,9 @@
     def rotate(self, zone: Zone, now: int, rpc: ServingRpc, left: int) -> Upstream | None:
         wants: Wants = rpc.tag.wants
         if wants.key and len(zone.ring) > 1:
-            bar = zone.flight / len(zone.ring) + MARGIN
+            bar = (zone.flight + zone.held) / len(zone.ring) + MARGIN
             for up in self.prefixes.holders(zone, wants.key):
-                if up.flight <= bar and up not in rpc.tries and rpc.allowed(up, now) and self.room(
+                if up.flight + up.held <= bar and up not in rpc.tries and rpc.allowed(up, now) and self.room(
                         up, now, left, 1.0):
                     return self.chosen(up, now)
         return super().rotate(zone, now, rpc, left)
--- a/shedgrade/serving/request.py
+++ b/shedgrade/serving/request.py
@@ -12,28 +12,27 @@
     """What a route and a request's headers ask of the choice.
 
     `homes`: region numbers that may serve it, None for all. `key`: the parts of its prompt that others
-    share, b"" for none. `most`: upstreams that it may be sent to. `target`: tenths of a ms within which it
-    earns its full worth.
-    `avoid`: upstreams, by index, that earlier legs of the same stream ran on. `before`: to how many they
-    went.
+    share, b"" for none, of `shared` tokens; `tokens`: of all of it. `most`: upstreams that it may be sent to.
+    `target`: tenths of a ms within which it earns its full worth. `avoid`: upstreams, by index, that earlier
+    legs of the same stream ran on. `before`: to how many they went.
     """
-    __slots__ = ("homes", "key", "most", "target", "avoid", "before")
+    __slots__ = ("homes", "key", "most", "target", "avoid", "before", "tokens", "shared")
 
     def __init__(self, homes: frozenset[int] | None = None, key: bytes = b"", most: int = 1,
-                 target: int = 10_000,
-                 avoid: frozenset[int] = frozenset(), before: int = 0) -> None:
+                 target: int = 10_000, avoid: frozenset[int] = frozenset(), before: int = 0,
+                 tokens: int = 0, shared: int = 0) -> None:
         self.homes, self.key, self.most, self.target = homes, key, most, target
-        self.avoid, self.before = avoid, before
+        self.avoid, self.before, self.tokens, self.shared = avoid, before, tokens, shared
 
 
 class ServingRpc(Rpc):
     """Goes again only after what proves that it did not run, or where it may run again, within the fleet's
     budget."""
-    __slots__ = ("arrived", "refused")
+    __slots__ = ("arrived", "refused", "reading")
 
     def __init__(self, home, method, now: int, give_up_at: int, retry: bool, tag: object,
                  tenant: int) -> None:
-        self.arrived, self.refused = tag.wants.before, 0
+        self.arrived, self.refused, self.reading = tag.wants.before, 0, 0
         super().__init__(home, method, now, give_up_at, retry, tag, tenant)
 
     def timed(self, now: int, give_up_at: int, retry: bool = False) -> None:
@@ -67,7 +66,8 @@
         home = self.home
         home.repeats.sent(now, repeat)
         self.arrived += 1
-        home.count_in(up, 1, 0)
+        self.reading = home.prefixes.reading(up, self.tag.wants)
+        home.count_in(up, 1, self.reading)
         self.out[len(self.tries)] = max(1, up.flight)
         up.used = now
         self.tries.append(up)
@@ -75,6 +75,7 @@
         return up.index, max(1, self.end - now)
 
     def ended(self, now: int, tx: int, outcome: int, took: int, settled: bool, fresh=False) -> list[int]:
+        self.read(tx)
         if outcome in ARRIVED_NOT:
             self.arrived -= 1
             self.home.repeats.took_back(now, self.arrived > 0)
@@ -84,7 +85,16 @@
             self.home.served(now, self.tries[tx], self.tag.wants)
         return super().ended(now, tx, outcome, took, settled, fresh)
 
+    def read(self, tx: int) -> None:
+        """Its prompt has been read there, or is read no more."""
+        if self.reading:
+            self.home.count_in(self.tries[tx], 0, -self.reading)
+            self.reading = 0
+
     def started(self, lasting: bool = False) -> None:
         """A stream keeps a place of its upstream until it ends: it stays in flight, as a send adds one and
         only its outcome takes it off."""
         self.again_at = None
+        for tx in self.out:
+            self.read(tx)
+            self.home.prefixes.has_read(self.tries[tx], self.tag.wants)
--- a/tests/dataplane/test_asking.py
+++ b/tests/dataplane/test_asking.py
@@ -306,8 +306,12 @@
     world.run(3.0)
     assert world.asker.main.address != SEEDS[0]
     world.old.clear()
+    world.run(5.0)
+    assert world.asker.main.address != SEEDS[0]     # it hears the primary again, and knows less than the edge
+    world.change(5)
     world.run(40.0)
     assert world.asker.main.address == SEEDS[0]
+    assert world.known["configuration"] == state(5)["configuration"]
 
 
 def test_all_old_are_asked_in_turn_but_not_all_the_time():
--- a/tests/serving/test_serving_choice.py
+++ b/tests/serving/test_serving_choice.py
@@ -137,3 +137,31 @@
     made = balancer()
     made.set_aside(0, made.ups[0], True)
     assert 0 not in {take(made)[1][0] for _ in range(6)}
+
+
+def test_a_prompt_that_is_being_read_is_passed_over_until_its_first_event():
+    made = balancer(ups=((0, 0), (1, 0), (2, 0)))
+    rpc, (reads, _) = take(made, tokens=8 * 2048)
+    assert made.ups[reads].held == 8
+    assert reads not in {take(made, tokens=100)[1][0] for _ in range(4)}
+    rpc.started(True)
+    assert made.ups[reads].held == 0 and made.ups[reads].flight == 1
+    rpc.ended(900, 0, outcomes.COMPLETED, 10, True)
+    assert (made.ups[reads].held, made.ups[reads].flight) == (0, 0)
+
+
+def test_what_was_read_there_weighs_no_more():
+    made = balancer(ups=((0, 0), (1, 0)))
+    rpc, (reads, _) = take(made, key=b"aa:6000", tokens=8000, shared=6000)
+    assert made.ups[reads].held == 3
+    rpc.started(True)
+    rpc.ended(900, 0, outcomes.COMPLETED, 10, True)
+    _, (again, _) = take(made, now=1000, key=b"aa:6000", tokens=8000, shared=6000)
+    assert again == reads and made.ups[reads].held == 0
+
+
+def test_a_try_that_never_began_leaves_nothing_behind():
+    made = balancer()
+    rpc, (reads, _) = take(made, method=ONCE, tokens=50_000)
+    rpc.ended(900, 0, outcomes.UNCONNECTED, 10, True)
+    assert all((up.held, up.flight) == (0, 0) for up in made.ups.values())
