--- a/shedgrade/ctl/__main__.py
+++ b/shedgrade/ctl/__main__.py
@@ -28,7 +28,7 @@
 Options:
   --control=ADDRESS   host:port of a control address; several, or some joined by commas, are tried in turn.
                       SHEDGRADE_CONTROL holds them otherwise.
-  --deadline=SECONDS  How long an answer is sought [default: 10].
+  --deadline=SECONDS  How long an answer is sought: 10 if it is not given, 5 for evacuate and return.
   --base=VERSION      The version that the new configuration builds on; asked for if it is not given.
   --against=OLD       A file to compare with, in place of the configuration in force.
   --region=REGION     Where the request comes in; each region in turn if it is not given.
--- a/shedgrade/ctl/caller.py
+++ b/shedgrade/ctl/caller.py
@@ -19,6 +19,7 @@
 SILENCE = 1.0           # s without an answer after which the next address is tried
 SLOW = 1_000_000        # bytes a second at which a large body is thought to be taken in
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 1.0      # s before the next try
+USUAL, ORDER = 10.0, 5.0        # s for an answer; an order may be sent again for `ackMs` at the most
 ENDS = frozenset((400, 409, 412, 413, 422))
 AGAIN = frozenset((408, 429))
 TRIES = 3               # of any other 4xx
@@ -60,19 +61,21 @@
 
 
 class Caller:
-    """`addresses`: "host:port"; `clock` gives seconds, `pause` waits so many of them."""
+    """`addresses`: "host:port"; `deadline`: s for all calls together; `clock` gives seconds, `pause` waits so
+    many of them."""
 
     def __init__(self, addresses: Sequence[str], deadline: float, *, random: Random,
                  clock: Callable[[], float] = time.monotonic, pause: Callable[[float], None] = time.sleep,
                  silence: float = SILENCE) -> None:
-        self.addresses, self.deadline, self.random = list(addresses), deadline, random
+        self.addresses, self.random = list(addresses), random
         self.clock, self.pause, self.silence = clock, pause, silence
+        self.until = clock() + deadline
 
     def call(self, method: str, path: str, body: bytes | None = None,
              headers: Mapping[str, str] | None = None) -> Answer:
         """The 2xx answer. RefusedError with what the control plane found; SilenceError with what each address
         said last, if the deadline passes."""
-        until, turn, others = self.clock() + self.deadline, 0, 0
+        until, turn, others = self.until, 0, 0
         wait, last = FIRST_PAUSE, {}
         sent = dict(headers or {})
         if body is not None:
@@ -126,8 +129,9 @@
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit() or not 0 < int(port) < 65536:
             raise InputError(Finding("--control", f"{address!r} is no host:port"))
+    order = options["evacuate"] or options["return"]
     try:
-        deadline = float(options["--deadline"])
+        deadline = float(options["--deadline"] or (ORDER if order else USUAL))
     except ValueError:
         deadline = 0.0
     if not 0 < deadline < 3600:
--- a/tests/ctl/test_calls_on_control.py
+++ b/tests/ctl/test_calls_on_control.py
@@ -1,14 +1,22 @@
 """How the command line calls the control plane, against a stand-in on loopback; pauses take no time."""
+import doctest
 import json
+import re
+from pathlib import Path
 
 import pytest
 from control_stand_in import Control, Time, caller, configuration, run, serving
+from docopt import docopt
 
-from shedgrade.ctl.caller import LONGEST_PAUSE, SilenceError
+from shedgrade.ctl import output
+from shedgrade.ctl.__main__ import __doc__ as usage
+from shedgrade.ctl.caller import LONGEST_PAUSE, SilenceError, make_caller
 from shedgrade.ctl.output import RefusedError
 from shedgrade.findings import Finding
 from shedgrade.httpd import Reply, failure
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 def sent_on(address: str, path="/configuration") -> Reply:
     return Reply(307, headers=((b"Location", f"http://{address}{path}".encode()),))
@@ -101,3 +109,35 @@
         monkeypatch.setenv("SHEDGRADE_CONTROL", ",".join(addresses))
         code, text = run("config", "get")
     assert code == 0 and json.loads(text)["configVersion"] == 7
+
+
+def test_the_deadline_is_for_all_calls_of_a_command():
+    control, time = Control(configuration()), Time()
+    with serving(control) as addresses:
+        used = caller(addresses, deadline=3.0, time=time)
+        used.call("GET", "/configuration")
+        time.now = 2.9
+        control.script = [Reply(503)] * 4
+        with pytest.raises(SilenceError):
+            used.call("GET", "/status")
+    assert time.now < 3.1 and len(control.calls) < 5
+
+
+def test_orders_are_sent_again_for_a_shorter_time_by_default():
+    options = {"--control": ["a:80"], "--deadline": None, "evacuate": False, "return": False}
+    usual = make_caller(options)
+    order = make_caller({**options, "return": True})
+    assert 4.0 < usual.until - order.until < 6.0
+
+
+def test_the_examples_of_the_pages_parse():
+    """Each call of the command line in the operators' pages is one that it takes."""
+    pages = "".join(page.read_text() for page in (ROOT / "docs/operate").glob("*.md"))
+    calls = re.findall(r"^    python3 -m shedgrade\.ctl (.*?)(?: > .*)?(?: +#.*)?$", pages, re.MULTILINE)
+    assert len(calls) >= 4
+    for call in calls:
+        assert docopt(usage, call.split())
+
+
+def test_the_examples_in_the_code_hold():
+    assert doctest.testmod(output).failed == 0
