Gossip: a view over datagrams, with its timer on the loop

Views and datagrams stood but no program could use them together. Gossip carries a view's datagrams and sets its one timer; an address that is taken is said in the log and the process goes on. Tested on loopback with both loops.

--- /dev/null
+++ b/tests/membership/test_gossip_running.py
@@ -0,0 +1,128 @@
+"""Views on loopback sockets: who finds whom, what a leave does, and what an end frees."""
+import asyncio
+import socket
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+import uvloop
+
+from shedgrade import log
+from shedgrade.membership.messages import Node, Notice, Rumour, encode
+from shedgrade.membership.running import Gossip
+
+MOST = 10.0     # s that a condition may take
+
+
+def free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as handle:
+        handle.bind(("127.0.0.1", 0))
+        return handle.getsockname()[1]
+
+
+def free(address):
+    host, port = address.split(":")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as handle:
+        try:
+            handle.bind((host, int(port)))
+        except OSError:
+            return False
+        return True
+
+
+def node(name, kind="edge", **more):
+    return Node(name, f"127.0.0.1:{free_port()}", kind, "hall-1", 7, "127.0.0.1:7300", **more)
+
+
+def gossip(me, *contacts):
+    return Gossip(asyncio.get_running_loop(), me, [each.address for each in contacts], Random(me.name))
+
+
+async def until(condition):
+    async with asyncio.timeout(MOST):
+        while not condition():
+            heard = asyncio.get_running_loop().create_future()
+            asyncio.get_running_loop().call_later(0.005, heard.set_result, None)
+            await heard
+
+
+def names(running):
+    return {each.name for each in running.view.nodes()}
+
+
+@pytest.fixture(params=["asyncio", "uvloop"])
+def play(request):
+    def run(story):
+        new = uvloop.new_event_loop if request.param == "uvloop" else asyncio.new_event_loop
+        with asyncio.Runner(loop_factory=new) as runner:
+            return runner.run(story())
+    return run
+
+
+def test_all_find_each_other_by_one_contact_and_hear_at_once_who_leaves(play):
+    async def story():
+        core, *edges = node("core-1", "core"), node("edge-1"), node("edge-2"), node("edge-3")
+        running = [gossip(core, core)] + [gossip(each, core) for each in edges]
+        for each in running:
+            await each.start()
+        try:
+            await until(lambda: all(len(names(each)) == 4 for each in running))
+            assert [each.view.count("edge") for each in running] == [3] * 4
+            running[3].restate("leaving")
+            await until(lambda: all("edge-3" not in names(each) for each in running[:3]))
+            assert running[0].view.count("edge") == 2
+        finally:
+            for each in running:
+                each.close()
+    play(story)
+
+
+def test_a_state_that_changes_reaches_the_others(play):
+    async def story():
+        core, edge = node("core-1", "core"), node("edge-1", state="starting")
+        running = [gossip(core), gossip(edge, core)]
+        for each in running:
+            await each.start()
+        try:
+            await until(lambda: len(names(running[0])) == 2)
+            running[1].restate("ready")
+            await until(lambda: [each.state for each in running[0].view.nodes()] == ["ready", "ready"])
+        finally:
+            for each in running:
+                each.close()
+    play(story)
+
+
+def test_an_address_that_is_taken_is_said_and_the_process_goes_on(play):
+    async def story():
+        me, lines = node("edge-1"), []
+        log.hand(SimpleNamespace(**dict.fromkeys(
+            log.METHODS, lambda text, *values: lines.append(text.format(*values)))))
+        first, second = gossip(me), gossip(me)
+        try:
+            await first.start()
+            await second.start()
+            second.restate("ready")
+            assert len(lines) == 1 and lines[0].startswith(f"no gossip at {me.address}")
+            second.close()
+            first.close()
+            await until(lambda: free(me.address))
+        finally:
+            log.hand(None)
+    play(story)
+
+
+def test_an_address_that_is_none_is_passed_over(play):
+    async def story():
+        core = node("core-1", "core")
+        running = gossip(core)
+        running.view.know([Node("edge-1", "127.0.0.1\0:7301", "edge"),
+                           Node("edge-2", "127.0.0.1:9", "edge")])
+        await running.start()
+        try:
+            running.heard("127.0.0.1:9", encode(Notice([], [Rumour("edge-1", 5, "suspected")])))
+            running.restate("leaving")
+            assert not running.view.effects
+        finally:
+            running.close()
+    play(story)
