The fleet's size is the largest count of the last 30 s

Budgets of the fleet are dealt by the count of edges; when word of others is lost a smaller count would let shares grow while the others go on using theirs. The largest of a window holds instead; not wired yet.

--- /dev/null
+++ b/tests/dataplane/test_fleet_size.py
@@ -0,0 +1,33 @@
+"""The count by which the fleet's budgets are dealt: the largest of the last 30 s."""
+from random import Random
+
+from shedgrade.dataplane.fleet import LATELY, FleetSize
+
+
+def test_with_nothing_counted_there_is_this_one():
+    assert FleetSize().largest(5.0) == 1
+
+
+def test_a_smaller_count_holds_only_when_the_larger_is_old():
+    size = FleetSize()
+    size.counted(0.0, 6)
+    size.counted(1.0, 2)
+    assert size.largest(1.0) == size.largest(LATELY) == 6
+    assert size.largest(LATELY + 0.1) == 2
+
+
+def test_a_larger_count_holds_at_once():
+    size = FleetSize()
+    size.counted(0.0, 2)
+    size.counted(1.0, 67)
+    assert size.largest(1.0) == 67
+
+
+def test_it_is_the_maximum_of_the_window_whatever_comes():
+    for seed in range(20):
+        random, size, told, now = Random(seed), FleetSize(), [], 0.0
+        for _ in range(300):
+            now += random.uniform(0, 2)
+            told.append((now, random.randrange(0, 9)))
+            size.counted(*told[-1])
+            assert size.largest(now) == max(1, *(count for at, count in told if at >= now - LATELY))
