--- /dev/null
+++ b/shedgrade/engines/engine.py
@@ -0,0 +1,326 @@
+"""An engine: requests in batches, prompts read in pieces, memory shared, the least urgent preempted.
+
+No I/O: each call is handed the time in s; what came of it stands in `effects`, drained by the caller.
+Source: PROTOCOL, "Requests" and "Upstreams".
+"""
+import heapq
+from collections import deque
+from math import inf
+
+from shedgrade.engines.memory import KeyValueMemory
+from shedgrade.engines.settings import EngineSettings
+from shedgrade.engines.work import LEAST_URGENT, Done, Event, Fell, Job, Late, Rejected, Started, Work
+
+NEARLY_FULL = 0.9       # of the slots, above which some engines slow down
+REPORT_AGE = 0.3        # s by which a report is old
+SHOT = 0.1              # s between two looks that reports are made of
+
+
+class Engine:
+    """`submit` numbers requests from 1. Call `advance` when `wake_at` is due."""
+
+    def __init__(self, settings: EngineSettings, now: float, *, cold: bool = False) -> None:
+        self.settings = settings
+        self.memory = KeyValueMemory(settings.kv_tokens)
+        self.versions = dict.fromkeys(settings.models, 1)
+        self.cold_until = now + settings.cold_s if cold else now
+        self.jobs: dict[int, Job] = {}
+        self.waiting: dict[int, Job] = {}
+        self.running: dict[int, Job] = {}
+        self.deadlines: list[tuple[float, int]] = []
+        self.spoken: dict[int, int] = {}        # by request: version that its last event was made with
+        self.connecting: deque[float] = deque()     # ends of the times for which new connections take slots
+        self.arrivals: deque[float] = deque()       # of the last second, while it is cold
+        self.effects: list = []
+        self.number = self.read_tokens = self.kept_tokens = self.preemptions = 0
+        self.step_ends = inf
+        self.fallen = False
+        self.shots: deque[tuple[float, dict]] = deque()
+
+    # --- what is asked of it
+
+    def submit(self, now: float, work: Work) -> int:
+        """Its number. Where it is rejected at once, the effects say so."""
+        self.advance(now)
+        self.number += 1
+        job = Job(self.number, work, work.made)
+        self.count_cold(now)
+        if work.prompt + work.out > self.settings.kv_tokens or not self.room(job):
+            self.effects.append(Rejected(job.number, "full"))
+            return job.number
+        self.jobs[job.number] = self.waiting[job.number] = job
+        if work.deadline < inf:
+            heapq.heappush(self.deadlines, (work.deadline, job.number))
+        self.go_on(now)
+        return job.number
+
+    def room(self, job: Job) -> bool:
+        """Whether it may wait; a less urgent one that has not run yet is displaced for it."""
+        if len(self.jobs) < self.settings.slots + self.settings.queue:
+            return True
+        others = [other for other in self.waiting.values() if not other.started]
+        last = max(others, key=lambda other: other.rank, default=None)
+        if last is None or last.work.priority <= job.work.priority:
+            return False
+        self.end(last)
+        self.effects.append(Rejected(last.number, "full"))
+        return True
+
+    def cancel(self, now: float, number: int) -> None:
+        """Its client left."""
+        self.advance(now)
+        job = self.jobs.get(number)
+        if job is not None:
+            self.end(job)
+            self.go_on(now)
+
+    def connected(self, now: float) -> None:
+        """A new connection takes a slot for a moment."""
+        self.connecting.append(now + self.settings.connect_s)
+
+    def load(self, model: str, version: int) -> None:
+        """New weights. What was read with others is of no use to them."""
+        self.versions[model] = version
+
+    # --- time
+
+    def advance(self, now: float) -> None:
+        """Does all that was due by `now`, in the order in which it was due."""
+        while not self.fallen:
+            at = self.next()
+            if at > now:
+                break
+            while self.deadlines and self.deadlines[0][0] <= at:
+                self.expire(heapq.heappop(self.deadlines)[1])
+            for job in [job for job in self.running.values() if job.ends <= at]:
+                self.end(job)
+                self.effects.append(Done(job.number))
+            if self.step_ends <= at:
+                self.finish_step()
+            self.go_on(at)
+        self.look(now)
+
+    def next(self) -> float:
+        while self.deadlines and self.deadlines[0][1] not in self.jobs:
+            heapq.heappop(self.deadlines)
+        ends = min((job.ends for job in self.running.values()), default=inf)
+        waits = self.connecting[0] if self.connecting and self.waiting else inf
+        return min(self.step_ends, ends, waits, self.deadlines[0][0] if self.deadlines else inf)
+
+    def wake_at(self) -> float:
+        return inf if self.fallen else self.next()
+
+    def expire(self, number: int) -> None:
+        job = self.jobs.get(number)
+        if job is not None:
+            self.end(job)
+            self.effects.append(Late(number) if job.started else Rejected(number, "deadline"))
+
+    # --- slots
+
+    def go_on(self, now: float) -> None:
+        """Fills the slots; begins a step if none is under way."""
+        while self.connecting and self.connecting[0] <= now:
+            self.connecting.popleft()
+        for job in sorted(self.waiting.values(), key=lambda job: job.rank):
+            if not self.admit(now, job):
+                break
+        if self.step_ends == inf:
+            self.begin_step(now)
+
+    def admit(self, now: float, job: Job) -> bool:
+        while len(self.running) + len(self.connecting) >= self.settings.slots:
+            if len(self.running) < self.settings.slots or not self.displace(job):
+                return False
+        while not self.place(job):
+            if not self.displace(job):
+                return False
+        del self.waiting[job.number]
+        self.running[job.number] = job
+        job.running = True
+        if not job.work.out:
+            self.start(job)
+            job.ends = now + job.work.span_s * self.slow(now)
+        return True
+
+    def displace(self, job: Job) -> bool:
+        """Preempts a less urgent one for it."""
+        last = self.last()
+        if last is None or last.work.priority <= job.work.priority:
+            return False
+        self.preempt(last)
+        return True
+
+    def last(self) -> Job | None:
+        """The newest of the least urgent that run."""
+        return max((job for job in self.running.values() if job.work.out), key=lambda job: job.rank,
+                   default=None)
+
+    def place(self, job: Job) -> bool:
+        """Gives it memory for all that it has to read; parts that are kept are not read again."""
+        work, memory = job.work, self.memory
+        version = self.versions.get(work.model, 0)
+        keys = [(work.model, version, name) for name, _ in work.parts]
+        kept = memory.run(keys)
+        for key in keys[:kept]:
+            memory.pin(key)
+        spared = sum(tokens for _, tokens in work.parts[:kept])
+        need = max(0, work.prompt - spared) + job.made
+        if not memory.take(need):
+            for key in keys[:kept]:
+                memory.unpin(key)
+            return False
+        job.pins, job.held, job.tail = keys[:kept], need, []
+        # Something is read also where all is kept: the step that makes the first token.
+        job.unread = left = max(1, need) if work.out else 0
+        for key, (_, tokens) in zip(keys[kept:], work.parts[kept:], strict=True):
+            left -= tokens
+            job.tail.append((left, key, tokens))
+        self.kept_tokens += spared
+        return True
+
+    def preempt(self, job: Job) -> None:
+        """It waits again, and is read anew, with what it has made; what was read whole stays as parts."""
+        self.free(job)
+        job.running, job.reading = False, 0
+        self.waiting[job.number] = job
+        self.preemptions += 1
+
+    def end(self, job: Job) -> None:
+        del self.jobs[job.number]
+        self.spoken.pop(job.number, None)
+        if self.waiting.pop(job.number, None) is None:
+            self.free(job)
+
+    def free(self, job: Job) -> None:
+        del self.running[job.number]
+        self.memory.give_back(job.held)
+        for key in job.pins:
+            self.memory.unpin(key)
+        job.held, job.pins, job.tail = 0, [], []
+
+    def start(self, job: Job) -> None:
+        if not job.started:
+            job.started = True
+            self.effects.append(Started(job.number))
+
+    # --- steps
+
+    def begin_step(self, now: float) -> None:
+        """Each request in the batch gets a token; the rest of the step goes to prompts, the urgent first."""
+        batch = [job for job in self.running.values() if job.work.out]
+        if not batch:
+            return
+        settings, left = self.settings, self.settings.piece
+        for job in sorted((job for job in batch if job.unread), key=lambda job: job.rank):
+            job.reading = min(left, job.unread)
+            left -= job.reading
+        read = settings.piece - left
+        lasts = settings.step_s + settings.crowd_s * (len(batch) - 1) + read / settings.prefill_per_s
+        self.step_ends = now + lasts * self.slow(now)
+
+    def finish_step(self) -> None:
+        self.step_ends = inf
+        batch = sorted((job for job in self.running.values() if job.work.out), key=lambda job: job.rank)
+        for job in batch:
+            if not job.running:
+                continue                    # it was preempted for one before it
+            if job.unread:
+                if not job.reading:
+                    continue
+                self.read(job)
+                if job.unread:
+                    continue
+            if self.extend(job):
+                self.make(job)
+
+    def read(self, job: Job) -> None:
+        self.read_tokens += job.reading
+        job.unread -= job.reading
+        job.reading = 0
+        while job.tail and job.unread <= job.tail[0][0]:
+            _, key, tokens = job.tail.pop(0)
+            if tokens <= job.held:
+                self.memory.keep(key, tokens)
+                job.held -= tokens
+                job.pins.append(key)
+
+    def extend(self, job: Job) -> bool:
+        """One more token of memory; False if it was preempted itself for lack of it."""
+        while not self.memory.take(1):
+            last = self.last()
+            self.preempt(last)
+            if last is job:
+                return False
+        job.held += 1
+        return True
+
+    def make(self, job: Job) -> None:
+        work, stride = job.work, self.settings.stride
+        self.start(job)
+        job.made += 1
+        if job.made % stride == 0 or job.made >= work.out:
+            version = self.versions.get(work.model, 0)
+            moved = self.spoken.get(job.number, version) != version
+            self.spoken[job.number] = version
+            self.effects.append(Event(job.number, -(-job.made // stride), (job.made - 1) % stride + 1,
+                                      version if moved else None))
+        elif job.number not in self.spoken:
+            self.spoken[job.number] = self.versions.get(work.model, 0)
+        if job.made >= work.out:
+            self.end(job)
+            self.effects.append(Done(job.number))
+
+    def slow(self, now: float) -> float:
+        settings = self.settings
+        factor = settings.cold_slow if now < self.cold_until else 1.0
+        return factor * (settings.full_slow if len(self.running) >= NEARLY_FULL * settings.slots else 1.0)
+
+    # --- cold
+
+    def cold_left(self, now: float) -> float:
+        return max(0.0, self.cold_until - now)
+
+    def chill(self, now: float) -> None:
+        """It may turn cold at any moment."""
+        self.cold_until = now + self.settings.cold_s
+
+    def count_cold(self, now: float) -> None:
+        if now >= self.cold_until or not self.settings.cold_rate:
+            return
+        self.arrivals.append(now)
+        while self.arrivals[0] <= now - 1.0:
+            self.arrivals.popleft()
+        if len(self.arrivals) > self.settings.cold_rate * self.settings.cold_fall and not self.fallen:
+            self.fallen = True
+            self.effects.append(Fell())
+
+    # --- what it says of itself
+
+    def look(self, now: float) -> None:
+        if self.shots and now - self.shots[-1][0] < SHOT:
+            return
+        self.shots.append((now, {
+            "stage": "dual",
+            "modelList": [{"name": name, "configVersion": version, "adapterList": []}
+                          for name, version in self.versions.items()],
+            "occupied": False, "sequenceNumber": 0, "queued": len(self.waiting), "active": len(self.running),
+            "kvUsed": self.memory.used, "kvTotal": self.memory.total, "handleCount": 0}))
+        while len(self.shots) > 1 and self.shots[1][0] <= now - REPORT_AGE:
+            self.shots.popleft()
+
+    def report(self, now: float) -> dict:
+        """As it stood some hundred ms ago."""
+        self.advance(now)
+        return self.shots[0][1]
+
+
+def rank(header: str | None) -> int:
+    """Of `Priority`: 0 to 9, 5 where it is absent or none.
+
+    >>> rank("0"), rank(None), rank("12")
+    (0, 5, 5)
+    """
+    if header is not None and header.isdigit() and int(header) <= LEAST_URGENT:
+        return int(header)
+    return 5
--- /dev/null
+++ b/shedgrade/engines/server.py
@@ -0,0 +1,160 @@
+"""The HTTP end of one stand-in upstream. Source: PROTOCOL, "Requests", "Answers", "Upstreams"."""
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from shedgrade.engines.connection import UpstreamEnd
+from shedgrade.engines.engine import Engine
+from shedgrade.engines.records import Run
+from shedgrade.engines.work import Done, Event, Fell, Late, Rejected, Started
+
+RESET = struct.pack("ii", 1, 0)
+BACKLOG = 1024
+
+
+@dataclass(slots=True)
+class Upstream:
+    """What an upstream is and how it behaves; spans in s. `close_chance`: of an answer that ends its
+    connection. `troubles`: chances, by name, that an answer is broken off ("cut"), is no answer ("noise"),
+    has more behind it ("more"), is followed by itself once more ("surplus"), is a 500 that has run ("error"),
+    or a 429 that has not ("busy")."""
+
+    instance: str
+    service: str
+    zone: str
+    address: tuple[str, int]
+    key: bytes
+    health_path: str = "/health"
+    work_s: float = 0.02
+    answer_bytes: int = 800
+    max_connections: int = 360
+    keep_alive_s: int = 10
+    close_chance: float = 0.002
+    troubles: dict[str, float] = field(default_factory=dict)
+
+
+class EngineServer:
+    """Listens while it is open; `record` is handed each `Run` as it comes, and the run is filled in later.
+    `fell()` is called once it has fallen over."""
+
+    def __init__(self, loop, upstream: Upstream, engine: Engine, random: Random,
+                 record: Callable[[Run], None], fell: Callable[[], None] = lambda: None) -> None:
+        self.loop, self.upstream, self.engine, self.random = loop, upstream, engine, random
+        self.record, self.fell = record, fell
+        self.ends: dict[UpstreamEnd, None] = {}
+        self.in_hand: dict[int, UpstreamEnd] = {}
+        self.draining = self.dark = self.healthy_not = False
+        self.timer = None
+        self.server = None
+        self.refused = self.accepted = 0
+
+    async def start(self) -> None:
+        """OSError if the address can't be had. Port 0: the kernel's choice, told in `upstream.address`."""
+        host, port = self.upstream.address
+        self.server = await self.loop.create_server(lambda: UpstreamEnd(self), host, port, backlog=BACKLOG)
+        self.upstream.address = self.server.sockets[0].getsockname()[:2]
+
+    # --- its life
+
+    def drain(self) -> None:
+        """It is leaving: it says so in its answers, and goes on."""
+        self.draining = True
+
+    def go_dark(self) -> None:
+        """Says nothing any more; connections stay."""
+        self.dark = True
+
+    def close(self) -> None:
+        """Gone, whatever it runs: all connections are reset."""
+        if self.server is not None:
+            self.server.close()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.dark = True
+        for end in list(self.ends):
+            end.outcome("cut")
+            reset(end.transport)
+
+    # --- connections
+
+    def most(self) -> int:
+        """Connections that it accepts: fewer while its queue is long."""
+        long = len(self.engine.waiting) > self.engine.settings.queue // 2
+        return self.upstream.max_connections // 2 if long else self.upstream.max_connections
+
+    def opened(self, end: UpstreamEnd) -> None:
+        if len(self.ends) >= self.most() or self.dark:
+            self.refused += 1
+            reset(end.transport)
+            return
+        self.accepted += 1
+        self.ends[end] = None
+        self.engine.connected(self.loop.time())
+
+    def closed(self, end: UpstreamEnd) -> None:
+        self.ends.pop(end, None)
+        number = end.number
+        if number and self.in_hand.pop(number, None) is not None:
+            end.outcome("left")
+            self.engine.cancel(self.loop.time(), number)
+            self.drive()
+
+    # --- work
+
+    def submit(self, end: UpstreamEnd, work) -> None:
+        now = self.loop.time()
+        number = self.engine.submit(now, work)
+        end.number = number
+        self.in_hand[number] = end
+        self.drive()
+
+    def drive(self) -> None:
+        """Passes on what the engine tells, and sets the timer."""
+        engine = self.engine
+        while engine.effects:
+            effects, engine.effects = engine.effects, []
+            for effect in effects:
+                self.tell(effect)
+        at = engine.wake_at()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if at != float("inf") and not self.dark:
+            self.timer = self.loop.call_at(at, self.alarm)
+
+    def alarm(self) -> None:
+        self.timer = None
+        self.engine.advance(self.loop.time())
+        self.drive()
+
+    def tell(self, effect) -> None:
+        if isinstance(effect, Fell):
+            self.close()
+            self.fell()
+            return
+        end = self.in_hand.get(effect.number)
+        if end is None or self.dark:
+            return
+        if isinstance(effect, (Done, Rejected, Late)):
+            del self.in_hand[effect.number]
+        match effect:
+            case Started():
+                end.started(self.loop.time())
+            case Event(_, id, tokens, version):
+                end.event(id, tokens, version)
+            case Done():
+                end.done()
+            case Rejected(_, why):
+                end.turn_away(503, why)
+            case Late():
+                end.late()
+
+
+def reset(transport) -> None:
+    handle = transport.get_extra_info("socket")
+    if handle is not None and handle.fileno() >= 0:
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    transport.abort()
