Both programs shuffle a partial view of who is there

No program used the views that stand. Each process now shuffles with its neighbours, the seeds' second port being the contacts; an edge tells its state there, counts the fleet by the larger of the core's word and its view's, and asks core members found there when all that are named fail.

--- a/shedgrade/boot/settings.py
+++ b/shedgrade/boot/settings.py
@@ -96,3 +96,8 @@
     def seed_links(self) -> tuple[str, ...]:
         """Link addresses of the seeds: ports are alike on all machines."""
         return tuple(f"{seed.rpartition(':')[0]}:{self.internal_ports[0]}" for seed in self.seeds)
+
+    @property
+    def seed_gossips(self) -> tuple[str, ...]:
+        """UDP addresses of the seeds, in the same way."""
+        return tuple(f"{seed.rpartition(':')[0]}:{self.internal_ports[0] + 1}" for seed in self.seeds)
--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -25,6 +25,8 @@
 from shedgrade.link.address import split
 from shedgrade.link.tcp import Links, LinkServer
 from shedgrade.log import logger
+from shedgrade.membership.messages import Node
+from shedgrade.membership.running import Gossip
 from shedgrade.replication import Answer, Finished, Left, Member, Persist, Send, messages
 from shedgrade.storage import Store
 
@@ -65,6 +67,8 @@
         self.duties = duty.Duties(own, self.member_addresses, random, now, duties=(LIST,),
                                   floor=int(time() * 10))
         self.hub = Hub(own, now, exchange=SPREAD)
+        self.gossip = Gossip(loop, Node(settings.node_name, settings.gossip_address, "core", settings.zone,
+                                        random.getrandbits(48), own), settings.seed_gossips, random)
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
         self.operators = Operators(self.ordering, self.status)
         self.directory = Directory(settings.zones, random, settings.bounds)
@@ -85,6 +89,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
         self.disk.start()
         await self.server.start()
+        await self.gossip.start()
         listen = self.settings.listen
         if "control" in listen:
             self.http.append(HttpServer(self.loop, listen["control"], self.operators.handle, logger))
@@ -102,6 +107,7 @@
         for server in self.http:
             server.close()
         self.poller.stop()
+        self.gossip.close()
         self.links.close()
         self.server.close()
         self.disk.close()
@@ -115,6 +121,7 @@
     def leave(self) -> None:
         """SIGTERM: hands over what it holds, then ends."""
         now = self.loop.time()
+        self.gossip.restate("leaving")
         self.duties.resign(now)
         self.member.leave(now)
         self.pump()
@@ -269,6 +276,8 @@
     def learn(self, now: float, sender: str, message: object, answer) -> None:
         match message:
             case Ask():
+                # Guards against core members that all started anew: their terms go above what edges hold.
+                self.duties.met(now, LIST, message.upstreams[0])
                 before = self.hub.own_version
                 self.hub.ask(now, message, lambda told: answer(KNOWLEDGE + knowledge.encode(told)))
                 if self.hub.own_version != before:
--- a/shedgrade/dataplane/asking.py
+++ b/shedgrade/dataplane/asking.py
@@ -145,6 +145,13 @@
             self.members = {address: member for address, member in self.members.items()
                             if member.named or member is self.main or member.calls}
 
+    def met(self, addresses: Iterable[str]) -> None:
+        """Core members that only other processes speak of: asked when all that are named fail."""
+        for address in addresses:
+            if address not in self.members and len(self.members) < MOST:
+                self.members[address] = CoreMember(address, self.random.random())
+                self.members[address].named = False
+
     # --- events
 
     def changed(self, now: float, edge: EdgeState) -> None:
@@ -233,10 +240,11 @@
         """Who is to be asked, and when: the main member, or while there is none, any two."""
         if self.main is not None:
             return [(self.main, self.next_at)] if self.main.call is None else []
+        all_failed = all(member.failures for member in self.members.values() if member.named)
         idle = [(max(now, min(member.rest_until, member.failed_at + WANTED_REST)), member)
-                for member in self.members.values() if member.call is None]
+                for member in self.members.values() if member.call is None and (member.named or all_failed)]
         idle.sort(key=lambda pair: (pair[0], self.rank(now, pair[1])))
-        awaited = len(self.members) - len(idle)
+        awaited = sum(member.call is not None for member in self.members.values())
         return [(member, at) for at, member in idle[:max(0, 2 - awaited)]]
 
     def beside(self, now: float) -> tuple[CoreMember, float] | None:
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -21,6 +21,8 @@
 from shedgrade.link.peer import LinkError
 from shedgrade.link.tcp import Links
 from shedgrade.log import logger
+from shedgrade.membership.messages import Node
+from shedgrade.membership.running import Gossip
 from shedgrade.memory.budget import Budget
 from shedgrade.serving.repeats import Repeats
 from shedgrade.wire.application import Listener
@@ -29,6 +31,8 @@
 RESERVED = 200          # descriptors that are kept for files
 ASK_BEAT = 0.5          # s that an ask waits where nothing is new: an edge that died is missed so soon
 BEAT = 0.1              # s between two looks at upstreams that have fallen silent
+RECOUNT = 1.0           # s between two looks at what gossip knows
+SILENT = 1.0            # s without a word of any core member beyond which gossip's are asked too
 LOOK_AFTER = 0.25       # s between two looks at clients' connections
 TAKES_ON = 2.5          # s after SIGTERM in which what still comes is served: clients hold addresses so long
 AT_LAST = 0.6           # s before SIGKILL at which whatever is left is ended
@@ -49,12 +53,16 @@
         self.links = Links(loop, settings.link_address, lambda sender, frame: None, settings.ip_address)
         self.asker = Asker(self.edge_state(), settings.seed_links, random, loop.time(),
                            beat=min(ASK_BEAT, settings.heartbeat_ms / 1000))
+        me = self.asker.edge
+        self.gossip = Gossip(loop, Node(me.name, settings.gossip_address, "edge", me.zone, me.life,
+                                        front=me.front, state=me.state), settings.seed_gossips, random)
         self.leaving_since: float | None = None
         self.closing = False
         self.done = asyncio.Event()
         self.tasks: set = set()
         self.timer, self.wake = None, float("inf")
         self.was_ready = False
+        self.recount_at = 0.0
 
     # --- what the front asks
 
@@ -91,6 +99,7 @@
         self.listener = Listener(self.loop, self.front, listen["front"], IngressConnection)
         self.readiness = HttpServer(self.loop, listen["readiness"], self.tell_ready, logger)
         await self.readiness.start()
+        await self.gossip.start()
         self.listener.resume()
         gc.collect()
         gc.freeze()
@@ -98,6 +107,7 @@
         self.beat()
         self.look_after()
         await self.done.wait()
+        self.gossip.close()
         self.links.close()
         self.readiness.close()
 
@@ -109,8 +119,7 @@
         if self.leaving_since is not None:
             return
         self.leaving_since = self.loop.time()
-        self.asker.changed(self.loop.time(), self.edge_state())
-        self.ask()
+        self.restate()
         grace = self.settings.bounds["graceS"]
         self.loop.call_later(TAKES_ON, self.close_idle)
         self.loop.call_later(max(TAKES_ON, grace - AT_LAST), self.conclude)
@@ -138,12 +147,15 @@
         self.loop.call_later(LEAVES, self.done.set)
 
     def beat(self) -> None:
+        now = self.loop.time()
         for pool in self.services.values():
             pool.look()
         if self.ready() != self.was_ready:
             self.was_ready = not self.was_ready
-            self.asker.changed(self.loop.time(), self.edge_state())
-            self.ask()
+            self.restate()
+        if now >= self.recount_at:
+            self.recount_at = now + RECOUNT
+            self.recount(now)
         if not self.done.is_set():
             self.loop.call_later(BEAT, self.beat)
 
@@ -152,8 +164,23 @@
         if not self.done.is_set():
             self.loop.call_later(LOOK_AFTER, self.look_after)
 
+    def recount(self, now: float) -> None:
+        """What gossip knows: edges, by which budgets are dealt, and core members where all others fail."""
+        told = self.asker.counts
+        self.state.counted(max(self.gossip.view.count("edge"), told.edges if told is not None else 0))
+        if self.asker.lost(now) > SILENT:
+            nodes = self.gossip.view.nodes()
+            self.asker.met(node.link for node in nodes if node.kind == "core" and node.link)
+
     # --- asking
 
+    def restate(self) -> None:
+        """Says what this edge is now."""
+        state = self.edge_state()
+        self.asker.changed(self.loop.time(), state)
+        self.gossip.restate(state.state)
+        self.ask()
+
     def edge_state(self) -> EdgeState:
         settings = self.settings
         word = LEAVING if getattr(self, "leaving_since", None) is not None else (
--- a/shedgrade/dataplane/state.py
+++ b/shedgrade/dataplane/state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from shedgrade.configuration import parse
+from shedgrade.dataplane.fleet import FleetSize
 from shedgrade.dataplane.routes import Routes
 from shedgrade.dataplane.service import ServicePool
 from shedgrade.knowledge import ControlChange, Counts, Instance, ListMoved, unpacked
@@ -26,7 +27,7 @@
         self.instances: dict[str, Instance] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.returned: dict[str, float] = {}    # zones once evacuated, until the list is sure to know it
-        self.sidecars = 1
+        self.fleet, self.sidecars = FleetSize(), 1
 
     def apply(self, updates: Iterable[object]) -> None:
         for update in updates:
@@ -36,9 +37,15 @@
                 case ListMoved():
                     self.moved(update)
                 case Counts(edges, _):
-                    self.sidecars = max(1, edges)
-                    for service in self.services.values():
-                        service.counted(self.sidecars)
+                    self.counted(edges)
+
+    def counted(self, edges: int) -> None:
+        """As many edges are known now, by whoever knows the most."""
+        now = self.now()
+        self.fleet.counted(now, edges)
+        self.sidecars = self.fleet.largest(now)
+        for service in self.services.values():
+            service.counted(self.sidecars)
 
     def controlled(self, change: ControlChange) -> None:
         raw = unpacked(change)
