--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
-# make demo: sets up, then half a minute of load through a rolling deploy. make test: sets up and runs the tests.
-.PHONY: demo test setup sites
+# make demo: sets up, then the whole system for a minute, with troubles and a judge. make demo-sidecar: half a minute of
+# load on sidecars through a rolling deploy. make test: sets up and runs the tests.
+.PHONY: demo demo-sidecar test setup sites
 PYTHON ?= python3
 
 setup: .venv/ready
@@ -10,6 +11,9 @@
 	touch .venv/ready
 
 demo: setup
+	.venv/bin/python -m shedgrade.lab.system
+
+demo-sidecar: setup
 	.venv/bin/python -m shedgrade lab run scenarios/demo.toml
 
 test: setup
--- /dev/null
+++ b/shedgrade/lab/system/clients.py
@@ -0,0 +1,183 @@
+"""Clients: they ask where to go, keep connections or open new ones, and try again as PROTOCOL says."""
+import asyncio
+import json
+from random import Random
+
+from shedgrade.engines import content
+from shedgrade.lab.system import history
+from shedgrade.lab.system.calls import FAILURES, call
+from shedgrade.lab.system.history import Asked, History, Kind, Try
+from shedgrade.lab.system.link import ClientLink
+
+ASKED = 3           # registries that a client tries
+MORE = 3            # times as long as told that some clients hold an answer
+OPENS = 1.0         # s for a new connection to come up
+PROMISES = frozenset((408, 421, 429, 503))
+FINAL = frozenset((400, 401, 404, 413, 431))
+AVOIDS = 5.0        # s for which an address that failed is skipped
+PAUSE = 0.02        # s before a try of its own accord
+SILENCE = 2.0       # s without a word after which a stream is given up, at the least
+KEEPS = 0.7         # of the tries that use a connection which is kept
+
+
+class Clients:
+    """Those of one zone. `registries`: directory addresses, nearest first."""
+
+    def __init__(self, zone: str, region: str, registries: list[str], told: History, random: Random,
+                 clock, ttl_max: float) -> None:
+        self.zone, self.region, self.registries = zone, region, registries
+        self.history, self.random, self.clock, self.ttl_max = told, random, clock, ttl_max
+        self.addresses: list[str] = []
+        self.until = 0.0
+        self.resolving: asyncio.Task | None = None
+        self.failed: dict[str, float] = {}
+        self.kept: dict[str, list[ClientLink]] = {}
+        self.holds_long = random.random() < 0.2
+
+    # --- where to go
+
+    async def resolve(self, host: str) -> None:
+        """One answer for all that wait for it; the old one is held where none is to be had."""
+        if self.clock() < self.until:
+            return
+        if self.resolving is None or self.resolving.done():
+            self.resolving = asyncio.get_running_loop().create_task(self.ask(host))
+        if not self.addresses:
+            await asyncio.shield(self.resolving)
+
+    async def ask(self, host: str) -> None:
+        path = f"/resolution?name={host}&region={self.region}&zone={self.zone}"
+        for registry in self.registries[:ASKED]:
+            try:
+                answer = await call(registry, "GET", path, timeout=1.0)
+                told = json.loads(answer.body) if answer.status == 200 else {}
+                addresses, ttl = list(told["addressList"]), float(told["ttlS"])
+            except (*FAILURES, ValueError, KeyError, TypeError):
+                continue
+            self.addresses = addresses
+            held = min(ttl, self.ttl_max) * (MORE if self.holds_long else 1)
+            self.until = self.clock() + held
+            for address in [one for one in self.kept if one not in addresses]:
+                for link in self.kept.pop(address):
+                    link.close()
+            return
+
+    def choose(self) -> str | None:
+        now = self.clock()
+        well = [one for one in self.addresses if self.failed.get(one, 0.0) <= now]
+        return self.random.choice(well or self.addresses) if self.addresses else None
+
+    # --- one request
+
+    async def play(self, number: int, kind: Kind) -> Asked:
+        """Until it is served, refused for good, or its time is up."""
+        now = self.clock()
+        asked = Asked(number, kind, self.zone, now)
+        self.history.requests.append(asked)
+        until, after = now + kind.deadline_ms / 1000, 0
+        for turn in range(1 + kind.retries):
+            if until - self.clock() < 0.01:
+                break
+            await self.resolve(kind.host)
+            one = await self.once(asked, turn, until, after)
+            if one is None:
+                await asyncio.sleep(min(PAUSE * 5, max(0.0, until - self.clock())))
+                continue
+            if one.events:
+                after = one.events[-1][0]
+                asked.first_at = asked.first_at or one.first_at
+            if one.success:
+                asked.outcome, asked.first_at = "served", asked.first_at or one.first_at
+                break
+            if not self.again(one):
+                break
+            wait = PAUSE if one.retry_after is None else min(one.retry_after, (until - self.clock()) / 3)
+            await asyncio.sleep(max(0.0, min(wait, until - self.clock())))
+        asked.ended_at = self.clock()
+        if not asked.outcome:
+            asked.outcome = "refused" if asked.tries and asked.tries[-1].status in PROMISES else "failed"
+        return asked
+
+    def again(self, one: Try) -> bool:
+        """Whether another try may be made after this one."""
+        if one.status in FINAL and one.whole:
+            return False
+        return one.kind.idempotent or (one.whole and one.status in PROMISES) or (
+            one.failure == history.UNCONNECTED)
+
+    async def once(self, asked: Asked, turn: int, until: float, after: int) -> Try | None:
+        """One try; None if there is no address to try."""
+        kind, random = asked.kind, self.random
+        address = self.choose()
+        if address is None:
+            return None
+        target, body = f"{kind.prefix}{asked.number:x}", f"prompt {asked.number}".encode()
+        one = Try(f"{random.getrandbits(64):016x}", asked.number, kind, target,
+                  content.digest(b"POST", target.encode(), body), self.zone, self.region, address,
+                  self.clock(), after=after)
+        asked.tries.append(one)
+        self.history.tries[one.attempt] = one
+        link = self.take(address) if turn == 0 and random.random() < KEEPS else None
+        if link is None:
+            link = await self.open(address)
+        if link is None:
+            one.failure, one.ended_at = history.UNCONNECTED, self.clock()
+            self.failed[address] = self.clock() + AVOIDS
+            return one
+        silence = max(SILENCE, 4 * kind.target_ms / 1000, 8 * kind.gap_ms / 1000) if kind.streams else (
+            float("inf"))
+        left = until - self.clock()
+        await link.exchange(one, self.request(one, body, left), until, silence)
+        one.ended_at = self.clock()
+        if one.failure:
+            self.failed[address] = self.clock() + AVOIDS
+        self.give_back(address, link)
+        return one
+
+    def request(self, one: Try, body: bytes, left: float) -> bytes:
+        kind = one.kind
+        lines = [f"POST {one.target} HTTP/1.1", f"Host: {kind.host}", f"Attempt-Id: {one.attempt}",
+                 f"Time-Remaining: {max(1, int(left * 1000))}", f"Content-Length: {len(body)}"]
+        if kind.streams:
+            tokens = sum(count for _, count in kind.shared) + kind.own
+            parts = [*kind.shared, (f"{one.request:08x}", kind.own)]
+            lines += ["Model-Name: m", f"Token-Usage: {tokens},{kind.out}",
+                      "Prompt-Prefix: " + ",".join(f"{name}:{count}" for name, count in parts)]
+        if one.after:
+            lines.append(f"Last-Event-Id: {one.after}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    # --- connections
+
+    def take(self, address: str) -> ClientLink | None:
+        links = self.kept.get(address, [])
+        while links:
+            link = links.pop()
+            if link.usable(self.clock()):
+                return link
+            link.close()
+        return None
+
+    async def open(self, address: str) -> ClientLink | None:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(OPENS):
+                loop = asyncio.get_running_loop()
+                _, link = await loop.create_connection(
+                    lambda: ClientLink(self.clock, self.history.stray), host, int(port))
+        except OSError:
+            return None
+        return link
+
+    def give_back(self, address: str, link: ClientLink) -> None:
+        if link.usable(self.clock()) and address in self.addresses:
+            self.kept.setdefault(address, []).append(link)
+        else:
+            link.close()
+
+    def close(self) -> None:
+        if self.resolving is not None:
+            self.resolving.cancel()
+        for links in self.kept.values():
+            for link in links:
+                link.close()
--- /dev/null
+++ b/shedgrade/lab/system/demo.py
@@ -0,0 +1,181 @@
+"""The demonstration: a small deployment under traffic, with troubles, and the judge's verdict at its end."""
+import asyncio
+import os
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+from shedgrade.engines import EngineSettings
+from shedgrade.lab.system.history import Breach, Kind
+from shedgrade.lab.system.judge import judge, verdict
+from shedgrade.lab.system.lines import Lines
+from shedgrade.lab.system.site import CORE, EDGE, Site
+from shedgrade.lab.system.world import World
+
+ZONES = {"quay": "north", "mill": "north", "fell": "west", "dale": "south"}
+HOST = "demo.example"
+MODEL, LOOKUP = "chat-lm", "lookup"
+COLD_RATE = 8.0
+ENGINES = {MODEL: EngineSettings(slots=32, step_s=0.008, cold_s=2.0, cold_rate=COLD_RATE),
+           LOOKUP: EngineSettings(slots=8, cold_s=2.0, cold_rate=COLD_RATE)}
+KINDS = [
+    Kind("digest", "streaming", HOST, "/digest/", MODEL, 4.0, 6_000, 800, (("5c1e07a2", 2400),), 600, 50,
+         homes=("north", "west")),
+    Kind("reply", "streaming", HOST, "/reply/", MODEL, 6.0, 10_000, 800, (("91bd3f06", 200),), 400, 120,
+         resumable=True),
+    Kind("find", "safe", HOST, "/find/", LOOKUP, 8.0, 3_000, 300),
+    Kind("book", "unsafe", HOST, "/book/", LOOKUP, 4.0, 3_000, 300),
+]
+STARTS = 30.0       # s for the system to start, at the most
+
+
+def network() -> str:
+    """The first three numbers of addresses that no other run on this machine uses."""
+    own = os.getpid()
+    return f"127.{16 + own // 250 % 200}.{own % 250}"
+
+
+def demo_site() -> Site:
+    return Site(network(), ZONES, ("quay", "fell", "dale"), ("quay", "mill", "fell", "dale"),
+                ("quay", "mill", "fell", "dale", "quay", "fell"))
+
+
+SERVICES = [MODEL, MODEL, MODEL, MODEL, LOOKUP, LOOKUP]
+
+
+def configuration(version: int, kinds: list[Kind], services: list[str], **moved: float) -> dict:
+    """`moved`: time-outs in ms, by the name of a kind."""
+    routes = [{"name": kind.name, "host": kind.host, "pathPrefix": kind.prefix,
+               "routeClass": kind.route_class, "timeoutMs": moved.get(kind.name, kind.deadline_ms),
+               "targetMs": kind.target_ms, "priority": kind.priority, "service": kind.service,
+               "maxAttempts": 2 if kind.idempotent else 1, "sessionAffinity": kind.streams,
+               "resumable": kind.resumable, "gap_aim_ms": kind.gap_ms, "homeRegions": list(kind.homes)}
+              for kind in kinds]
+    return {"configVersion": version, "routeList": routes,
+            "serviceList": [{"name": name, "healthPath": "/health", "maxConnections": 360, "protocol": "h1",
+                             "tls": False, "coldStartS": 2.0, "coldRateS": COLD_RATE} for name in services],
+            "limits": {"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}}
+
+
+class Demo:
+    """`say` is handed each line."""
+
+    def __init__(self, world: World, lines: Lines, say: Callable[[str], None]) -> None:
+        self.world, self.lines, self.say = world, lines, say
+        self.version = 0
+
+    async def configure(self, version: int, **moved: float) -> None:
+        told = configuration(version, KINDS, list(ENGINES), **moved)
+        put = await self.world.operator.put(told, self.version)
+        if not put.taken:
+            raise RuntimeError(f"version {version} is answered {put.status}: {put.said}")
+        self.version = version
+        self.lines.note(f"version {version} acknowledged after {put.ended_at - put.sent_at:.2f} s")
+
+    async def race(self, one: int, other: int) -> None:
+        """Two operators on top of one version."""
+        world = self.world
+        puts = await asyncio.gather(*(
+            world.make_operator().put(configuration(version, KINDS, list(ENGINES), find=2_000 + version),
+                                      self.version) for version in (one, other)))
+        self.version = max((put.version for put in puts if put.taken), default=self.version)
+        self.lines.note("two operators at once: " + ", ".join(
+            f"version {put.version} is answered {put.status} after {put.ended_at - put.sent_at:.2f} s"
+            for put in puts))
+
+    async def spoil(self, version: int) -> None:
+        """A configuration that names an unknown service."""
+        wrong = configuration(version, KINDS, [MODEL])
+        put = await self.world.operator.put(wrong, self.version, valid=False)
+        self.lines.note(f"an invalid configuration is answered {put.status}")
+
+    async def kill_primary(self, away: float) -> None:
+        world = self.world
+        name = await world.until(world.primary, STARTS)
+        number = await world.kill(name)
+        self.lines.note(f"{name}, the primary, is killed")
+        await asyncio.sleep(away)
+        await world.launcher.start(name)
+        world.calmed(number)
+        self.lines.note(f"{name} is started again")
+
+    async def cut(self, region: str, away: float) -> None:
+        """Its processes stand still and say nothing, as behind a cut."""
+        world = self.world
+        names = [machine.name for machine in world.site.machines() if machine.region == region]
+        number = world.trouble(f"{region} cut off")
+        for name in names:
+            world.launcher.freeze(name)
+        self.lines.note(f"{region} stands still: {', '.join(names)}")
+        await asyncio.sleep(away)
+        for name in names:
+            world.launcher.thaw(name)
+        world.calmed(number)
+        self.lines.note(f"{region} goes on")
+
+    async def evacuate(self, zone: str, lasts: float) -> None:
+        order = await self.world.operator.evacuate(zone)
+        self.lines.note(f"{zone} evacuated, acknowledged after {order.ended_at - order.sent_at:.2f} s")
+        await asyncio.sleep(lasts)
+        await self.world.operator.take_back(zone)
+        self.lines.note(f"{zone} takes requests again")
+
+    async def crash(self, number: int, away: float) -> None:
+        fleet = self.world.fleet
+        self.lines.note(f"an upstream of {fleet.services[number]} crashes")
+        fleet.crash(number)
+        await asyncio.sleep(away)
+        await fleet.start(number, cold=True)
+        self.lines.note("it comes back, cold")
+
+    async def play(self) -> None:
+        """About 40 s. The last troubles leave time for the bounds of evacuations to be looked at in calm."""
+        world = self.world
+        begun = world.clock()
+        told = [(5, self.configure(5, reply=9_000)), (9, self.kill_primary(3.0)), (17, self.cut("west", 4.0)),
+                (25, self.race(8, 9)), (26.5, self.spoil(12)), (28, self.evacuate("mill", 9.0)),
+                (38, self.crash(5, 2.0))]
+        world.traffic()
+        lines = asyncio.create_task(self.lines.tell())
+
+        async def after(at: float, step) -> None:
+            await asyncio.sleep(max(0.0, begun + at - world.clock()))
+            await step
+
+        try:
+            async with asyncio.TaskGroup() as steps:
+                for at, step in told:
+                    steps.create_task(after(at, step))
+                steps.create_task(asyncio.sleep(42))
+        finally:
+            lines.cancel()
+
+
+async def begin(world: World) -> None:
+    """Until every client would be told of an edge that serves."""
+    await world.until(world.serving, STARTS)
+
+
+async def run(seed: int, say: Callable[[str], None]) -> list[Breach]:
+    """The whole demonstration; the breaches that the judge found."""
+    site = demo_site()
+    with tempfile.TemporaryDirectory(prefix="shedgrade-demo-") as folder:
+        async with World(site, Path(folder), SERVICES, ENGINES, KINDS, seed) as world:
+            say(f"{len(site.of(CORE))} cores, {len(site.of(EDGE))} edges, {len(SERVICES)} upstreams in "
+                f"{len(set(ZONES.values()))} regions; seed {seed}")
+            lines = Lines(world, say)
+            demo = Demo(world, lines, say)
+            await demo.configure(1)
+            await begin(world)
+            await demo.play()
+            await world.quiet()
+            await world.read_back()
+            say(lines.sums())
+            found = judge(world.history, world.key, ZONES, site.bounds, cold_rate=COLD_RATE)
+            for name in world.launcher.ended():
+                found.append(Breach("Fault", f"{name} ended by itself"))
+            if not lines.served:
+                found.append(Breach("Fault", "no request was served"))
+            say(f"verdict: {verdict(found)}")
+            return found
--- /dev/null
+++ b/shedgrade/lab/system/fleet.py
@@ -0,0 +1,89 @@
+"""The upstreams of a site: they start, crash, come back and leave, and the platform's list follows."""
+from random import Random
+
+from shedgrade.engines import Engine, EngineSettings
+from shedgrade.engines.server import EngineServer, Upstream
+from shedgrade.lab.system.history import History
+from shedgrade.lab.system.platform import AVAILABLE, DRAINING, Entry, InstanceDirectory
+from shedgrade.lab.system.site import Site
+
+CRASHED_SHOWN = 2.0     # s for which one that crashed stays on the list
+
+
+class Fleet:
+    """`services`: of each upstream, by number; `engines`: settings by service."""
+
+    def __init__(self, loop, site: Site, services: list[str], engines: dict[str, EngineSettings],
+                 directory: InstanceDirectory, told: History, random: Random, key: bytes,
+                 **behaviour: object) -> None:
+        self.loop, self.site, self.services, self.engines = loop, site, services, engines
+        self.directory, self.history, self.random, self.key = directory, told, random, key
+        self.behaviour = behaviour
+        self.servers: dict[int, EngineServer] = {}
+        self.entries: dict[str, Entry] = {}
+        self.timers: list = []
+
+    async def start(self, number: int, *, cold: bool = False) -> EngineServer:
+        """A new incarnation."""
+        service, zone = self.services[number], self.site.engines[number]
+        settings = self.engines[service]
+        upstream = Upstream(f"i-{self.random.getrandbits(32):08x}", service, zone, self.site.engine(number),
+                            self.key, **self.behaviour)
+        now = self.loop.time()
+        engine = Engine(settings, now, cold=cold)
+        server = EngineServer(self.loop, upstream, engine, Random(self.random.getrandbits(32)),
+                              self.history.runs.append, lambda: self.crashed(number))
+        await server.start()
+        self.servers[number] = server
+        self.entries[upstream.instance] = Entry(
+            upstream.instance, service, "{}:{}".format(*upstream.address), zone, settings.slots,
+            cold_until=engine.cold_until)
+        self.tell()
+        return server
+
+    async def start_all(self) -> None:
+        for number in range(len(self.services)):
+            await self.start(number)
+
+    def crash(self, number: int) -> None:
+        """Gone at once; the list shows it for a while still."""
+        self.servers[number].close()
+        self.crashed(number)
+
+    def crashed(self, number: int) -> None:
+        now, server = self.loop.time(), self.servers.pop(number)
+        self.history.troubles.append((now, now + CRASHED_SHOWN, f"{server.upstream.instance} crashed"))
+        self.later(CRASHED_SHOWN, self.forget, server.upstream.instance)
+
+    def drain(self, number: int) -> None:
+        """It is about to end: the list says so first, and it serves for `drainMs` and somewhat longer."""
+        server = self.servers.pop(number)
+        server.drain()
+        self.entries[server.upstream.instance].state = DRAINING
+        self.tell()
+        lasts = self.site.bounds["drainMs"] / 1000 + self.directory.lag + 1.0
+        self.later(lasts, self.gone, server)
+
+    def gone(self, server: EngineServer) -> None:
+        server.close()
+        self.forget(server.upstream.instance)
+
+    def forget(self, instance: str) -> None:
+        self.entries.pop(instance, None)
+        self.tell()
+
+    def tell(self) -> None:
+        self.directory.set(self.loop.time(), list(self.entries.values()))
+        self.history.drained = self.directory.shown_draining
+
+    def available(self) -> int:
+        return sum(entry.state == AVAILABLE for entry in self.entries.values())
+
+    def later(self, delay: float, call, *given) -> None:
+        self.timers.append(self.loop.call_later(delay, call, *given))
+
+    def close(self) -> None:
+        for timer in self.timers:
+            timer.cancel()
+        for server in self.servers.values():
+            server.close()
--- /dev/null
+++ b/shedgrade/lab/system/judge.py
@@ -0,0 +1,178 @@
+"""Judges a history by the operators' RULES, from outside: only by what clients, upstreams, operators and the
+platform saw. Rules bound by time are looked at where no trouble was near.
+"""
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from shedgrade.engines import content
+from shedgrade.engines.records import Run
+from shedgrade.lab.system import history, orders
+from shedgrade.lab.system.history import Breach, History, Try
+from shedgrade.lab.system.orders import Configurations
+
+PROMISES = frozenset((408, 421, 429, 503))
+
+
+def judge(told: History, key: bytes, zones: dict[str, str], bounds: dict[str, float], *,
+          cold_rate: float = 0.0) -> list[Breach]:
+    """All breaches. `key`: of the seals; `zones`: their regions; `cold_rate`: requests a second that a cold
+    upstream bears, 0: none is cold."""
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in told.runs:
+        runs[run.attempt].append(run)
+    found: list[Breach] = [Breach("MIXED", text) for text in told.stray]
+    for one in told.tries.values():
+        found += answer(one, runs[one.attempt], key)
+        found += promises(one, runs[one.attempt])
+    found += arrivals(told, zones)
+    found += evacuated(told, bounds)
+    found += drained(told, bounds)
+    found += retries(told, bounds)
+    found += cold(told, bounds, cold_rate)
+    found += lost(told, runs)
+    configurations = Configurations(told.orders)
+    found += orders.taken(told)
+    found += orders.in_force(told, configurations, bounds)
+    found += orders.kept(told)
+    return found
+
+
+# --- answers
+
+def answer(one: Try, runs: list[Run], key: bytes) -> Iterator[Breach]:
+    """A success is an upstream's, whole, in order, and of this request."""
+    name = f"{one.kind.name} {one.attempt}"
+    if one.surplus:
+        yield Breach("MIXED", f"{name}: more than its answer came")
+    yield from events(one, name)
+    if not one.success:
+        return
+    if one.echoed and one.echoed != one.attempt:
+        yield Breach("MIXED", f"{name}: the answer is {one.echoed}'s")
+    if one.encoding:
+        yield Breach("MIXED", f"{name}: the answer is encoded")
+    by = content.sealed_by(key, one.seal, one.attempt, one.asked)
+    if by is None:
+        yield Breach("MIXED", f"{name}: a success with the seal {one.seal!r}")
+    elif not any(run.instance == by and run.ran_at is not None for run in runs):
+        yield Breach("MIXED", f"{name}: sealed by {by}, which did not run it")
+    if one.kind.streams:
+        last = one.events[-1][0] if one.events else one.after
+        if last != one.kind.events:
+            yield Breach("ORDER", f"{name}: ends as complete at event {last} of {one.kind.events}")
+    elif one.body != content.body(one.asked, one.kind.answer_bytes):
+        yield Breach("MIXED", f"{name}: {len(one.body)} bytes that are not the upstream's answer")
+
+
+def events(one: Try, name: str) -> Iterator[Breach]:
+    expected = one.after + 1
+    for number, mark, _ in one.events:
+        if number != expected:
+            yield Breach("ORDER", f"{name}: event {number} where {expected} was due")
+            return
+        if mark != content.mark(one.asked, number):
+            yield Breach("MIXED", f"{name}: event {number} is not this request's")
+            return
+        expected += 1
+
+
+def promises(one: Try, runs: list[Run]) -> Iterator[Breach]:
+    """At most one run of what may not be repeated, and none where the answer promised that."""
+    ran = [run.instance for run in runs if run.ran_at is not None]
+    if one.kind.idempotent:
+        return
+    if len(ran) > 1:
+        yield Breach("TWICE", f"{one.kind.name} {one.attempt} ran at {', '.join(ran)}")
+    if ran and one.whole and one.status in PROMISES:
+        yield Breach("REFUSED", f"{one.kind.name} {one.attempt} ran, and was answered {one.status}")
+
+
+def lost(told: History, runs: dict[str, list[Run]]) -> Iterator[Breach]:
+    """In calm, a request that was passed on gets a whole answer, unless its upstream broke off."""
+    for one in told.tries.values():
+        passed = runs[one.attempt]
+        broke = any(run.outcome in ("cut", "late") for run in passed)
+        if one.failure == history.CLOSED and passed and not broke and told.calm(one.sent_at, one.ended_at):
+            yield Breach("LOST", f"{one.kind.name} {one.attempt} at {one.sidecar} ends without an answer")
+
+
+# --- what arrives at upstreams
+
+def arrivals(told: History, zones: dict[str, str]) -> Iterator[Breach]:
+    for run in told.runs:
+        one = told.tries.get(run.attempt)
+        if one is None:
+            yield Breach("UNASKED", f"{run.instance} was sent {run.attempt!r}, which no client sent")
+            continue
+        if (run.method, run.target, run.asked) != ("POST", one.target, one.asked):
+            yield Breach("UNASKED", f"{run.instance} was sent {run.attempt} changed")
+        homes = one.kind.homes
+        if homes and zones[run.zone] not in homes:
+            yield Breach("HOME", f"{one.kind.name} {run.attempt} arrived in {zones[run.zone]}, not at home")
+
+
+def evacuated(told: History, bounds: dict[str, float]) -> Iterator[Breach]:
+    spans = []
+    for order in told.orders:
+        if order.verb == "evacuate" and order.taken:
+            returns = [other.sent_at for other in told.orders if other.verb == "return" and (
+                other.zone == order.zone and other.sent_at > order.sent_at)]
+            spans.append((order.zone, order.ended_at + bounds["evacuationMs"] / 1000,
+                          min(returns, default=float("inf"))))
+    contact = bounds["contactMs"] / 1000
+    for run in told.runs:
+        for zone, begins, ends in spans:
+            if run.zone == zone and begins < run.at < ends and not run.outcome.startswith("421") and (
+                    told.calm(run.at - contact, run.at)):
+                yield Breach("EVAC", f"{run.attempt} arrived in {zone} {run.at - begins:.2f} s late")
+
+
+def drained(told: History, bounds: dict[str, float]) -> Iterator[Breach]:
+    contact = bounds["contactMs"] / 1000
+    for run in told.runs:
+        shown = told.drained.get(run.instance)
+        late = None if shown is None else run.at - shown - bounds["drainMs"] / 1000
+        if late is not None and late > 0 and not run.outcome.startswith("421") and (
+                told.calm(run.at - contact, run.at)):
+            yield Breach("DRAIN", f"{run.attempt} arrived at {run.instance} {late:.2f} s late")
+
+
+def retries(told: History, bounds: dict[str, float]) -> Iterator[Breach]:
+    """Arrivals beyond the first of each try, in every window, against the budget of all sidecars."""
+    window, ratio, slack = bounds["retryWindowS"], bounds["retryBudgetRatio"], bounds["retrySlack"]
+    seen: Counter = Counter()
+    repeats: dict[str, list[float]] = defaultdict(list)
+    for run in sorted(told.runs, key=lambda run: run.at):
+        seen[run.attempt] += 1
+        if seen[run.attempt] > 1:
+            repeats[run.service].append(run.at)
+    for service, times in repeats.items():
+        sent = [one.sent_at for one in told.tries.values() if one.kind.service == service]
+        for end in times:
+            count = sum(end - window < at <= end for at in times)
+            most = max(sum(end - back - window < at <= end - back for at in sent)
+                       for back in (0, window / 2, window))
+            if count > ratio * most + slack:
+                yield Breach("BUDGET", f"{count} repeats at {service} within {window} s, for {most} requests")
+                break
+
+
+def cold(told: History, bounds: dict[str, float], rate: float) -> Iterator[Breach]:
+    if not rate:
+        return
+    most = rate * bounds["coldExcess"] + bounds["coldSlack"]
+    times: dict[str, list[float]] = defaultdict(list)
+    for run in told.runs:
+        if run.cold and not run.outcome.startswith("421"):
+            times[run.instance].append(run.at)
+    for instance, came in times.items():
+        worst = max(sum(at - 1.0 < other <= at for other in came) for at in came)
+        if worst > most:
+            yield Breach("FAILBACK", f"{instance} was sent {worst} in a second while cold, not {most:g}")
+
+
+def verdict(found: list[Breach]) -> str:
+    """One line a rule."""
+    counts = Counter(breach.rule for breach in found)
+    return "\n".join(f"{rule} broken {count} times: {next(b.text for b in found if b.rule == rule)}"
+                     for rule, count in sorted(counts.items())) or "no rule was broken"
--- /dev/null
+++ b/shedgrade/lab/system/launcher.py
@@ -0,0 +1,96 @@
+"""Starts the two programs as real processes, and ends each by its own id."""
+import asyncio
+import os
+import shutil
+import signal
+import sys
+from pathlib import Path
+
+from shedgrade.lab.system.site import CORE, Machine, Site
+
+ROOT = Path(__file__).resolve().parents[3]
+PROGRAMS = {True: "shedgrade.controlplane", False: "shedgrade.dataplane"}
+ENDS = 12.0         # s for a process to end by itself
+
+
+class Launcher:
+    """`folder`: an empty one, for settings, disks and what processes write. Each machine's process is known
+    by the machine's name."""
+
+    def __init__(self, site: Site, folder: Path) -> None:
+        self.site, self.folder = site, folder
+        self.machines = {machine.name: machine for machine in site.machines()}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.started: set[str] = set()
+        self.frozen: set[str] = set()
+
+    def disk(self, machine: Machine) -> Path | None:
+        return self.folder / machine.name if machine.kind == CORE else None
+
+    def log(self, name: str) -> Path:
+        return self.folder / f"{name}.log"
+
+    async def start(self, name: str) -> None:
+        """With the settings of this moment; the first time of all of them is the system's first start."""
+        machine = self.machines[name]
+        disk, path = self.disk(machine), self.folder / f"{name}.yaml"
+        if disk is not None:
+            disk.mkdir(exist_ok=True)
+        self.site.write(machine, path, disk, name not in self.started)
+        self.started.add(name)
+        told = {**os.environ, "SHEDGRADE_BOOT": str(path), "PYTHONPATH": str(ROOT)}
+        with self.log(name).open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", PROGRAMS[machine.kind == CORE], cwd=ROOT, env=told,
+                stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+
+    async def start_all(self) -> None:
+        await asyncio.gather(*map(self.start, self.machines))
+
+    def running(self, name: str) -> bool:
+        process = self.processes.get(name)
+        return process is not None and process.returncode is None
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        if self.running(name):
+            self.processes[name].send_signal(number)
+
+    async def kill(self, name: str) -> None:
+        self.send(name, signal.SIGKILL)
+        await self.processes[name].wait()
+        self.frozen.discard(name)
+
+    async def stop(self, name: str) -> int:
+        """SIGTERM, and SIGKILL after `graceS`, as the platform does it. Its exit status."""
+        self.send(name, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(self.site.bounds["graceS"]):
+                await self.processes[name].wait()
+        except TimeoutError:
+            await self.kill(name)
+        return self.processes[name].returncode
+
+    def freeze(self, name: str) -> None:
+        """It says nothing any more, like a machine behind a cut."""
+        self.send(name, signal.SIGSTOP)
+        self.frozen.add(name)
+
+    def thaw(self, name: str) -> None:
+        self.send(name, signal.SIGCONT)
+        self.frozen.discard(name)
+
+    def wipe(self, name: str) -> None:
+        """Its disk is lost. Only while its process does not run."""
+        if self.running(name):
+            raise RuntimeError(f"{name} runs")
+        shutil.rmtree(self.folder / name, ignore_errors=True)
+
+    async def close(self) -> None:
+        """Ends all that still run, each by its id."""
+        for name in list(self.frozen):
+            self.thaw(name)
+        await asyncio.gather(*(self.kill(name) for name in self.processes if self.running(name)))
+
+    def ended(self) -> list[str]:
+        """Those that have ended, by whatever cause."""
+        return [name for name in self.processes if not self.running(name)]
--- /dev/null
+++ b/shedgrade/lab/system/lines.py
@@ -0,0 +1,80 @@
+"""One line a second about a world that runs."""
+import asyncio
+from collections.abc import Callable
+
+from shedgrade.lab.system.history import Asked
+from shedgrade.lab.system.world import World
+
+
+def quantile(values: list[float], part: float) -> float:
+    """The smallest value that at least `part` of them don't exceed; 0 without any.
+
+    >>> quantile([3.0, 1.0, 2.0], 0.5), quantile([], 0.5)
+    (2.0, 0.0)
+    """
+    if not values:
+        return 0.0
+    return sorted(values)[max(0, -int(-len(values) * part // 1) - 1)]
+
+
+class Lines:
+    """`served`, `refused`, `failed`: requests that have come to their end since the beginning."""
+
+    def __init__(self, world: World, say: Callable[[str], None]) -> None:
+        self.world, self.say = world, say
+        self.notes: list[str] = []
+        self.served = self.refused = self.failed = 0
+        self.firsts: list[float] = []
+        self.seen = 0               # requests that were looked at and have come to their end
+        self.open: list[Asked] = []
+
+    def note(self, text: str) -> None:
+        """Stands at the end of the next line."""
+        self.notes.append(text)
+
+    async def tell(self) -> None:
+        begun, turn = self.world.clock(), 0
+        while True:
+            turn += 1
+            await asyncio.sleep(max(0.0, begun + turn - self.world.clock()))
+            self.say(await self.line(turn))
+
+    async def line(self, turn: int) -> str:
+        ended = self.take()
+        served = [one for one in ended if one.outcome == "served"]
+        firsts = [(one.first_at - one.at) * 1000 for one in served if one.first_at is not None]
+        held, status, primary = await asyncio.gather(self.world.in_force(), self.world.status(),
+                                                     self.world.primary())
+        versions = sorted({version for version in held.values() if version is not None})
+        told = "-".join(map(str, dict.fromkeys((versions[0], versions[-1])))) if versions else "?"
+        notes, self.notes = "; ".join(self.notes), []
+        return (f"{turn:3d} s  served {len(served):3d}  refused {self.count(ended, 'refused'):2d}  failed "
+                f"{self.count(ended, 'failed'):2d}  first event p50 {quantile(firsts, 0.5):4.0f} "
+                f"p99 {quantile(firsts, 0.99):4.0f} ms  version {told}  members {len(status)}  "
+                f"primary {primary or '-'}{'  | ' + notes if notes else ''}")
+
+    def take(self) -> list[Asked]:
+        """The requests that have come to their end since the last look."""
+        requests = self.world.history.requests
+        self.open += requests[self.seen:]
+        self.seen = len(requests)
+        ended = [one for one in self.open if one.outcome]
+        self.open = [one for one in self.open if not one.outcome]
+        self.served += self.count(ended, "served")
+        self.refused += self.count(ended, "refused")
+        self.failed += self.count(ended, "failed")
+        self.firsts += [one.first_at - one.at for one in ended if one.outcome == "served" and one.first_at]
+        return ended
+
+    @staticmethod
+    def count(ended: list[Asked], outcome: str) -> int:
+        return sum(one.outcome == outcome for one in ended)
+
+    def sums(self) -> str:
+        """Of all that was asked."""
+        self.take()
+        firsts = [first * 1000 for first in self.firsts]
+        tries, runs = len(self.world.history.tries), len(self.world.history.runs)
+        return (f"served {self.served}, refused {self.refused}, failed {self.failed}; first event p50 "
+                f"{quantile(firsts, 0.5):.0f} ms, p99 {quantile(firsts, 0.99):.0f} ms; {tries} tries, {runs} "
+                f"arrivals at upstreams")
--- /dev/null
+++ b/shedgrade/lab/system/operators.py
@@ -0,0 +1,98 @@
+"""Operators: configurations, evacuations, reading back. Source: PROTOCOL, "The operator's API"."""
+import asyncio
+import json
+from collections.abc import Sequence
+from random import Random
+from urllib.parse import urlsplit
+
+from shedgrade.lab.system.calls import FAILURES, Answer, call
+from shedgrade.lab.system.history import History, Order
+
+ENDS = frozenset((400, 409, 412, 413, 422))
+AGAIN = frozenset((408, 429))
+TRIES = 3               # of any other 4xx
+SILENCE = 1.0
+FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.5
+
+
+class Operator:
+    """`addresses`: of control; `limit`: s for which an order may be sent again."""
+
+    def __init__(self, addresses: Sequence[str], told: History, random: Random, clock, limit: float) -> None:
+        self.addresses, self.history, self.random = list(addresses), told, random
+        self.clock, self.limit = clock, limit
+
+    async def put(self, configuration: dict, base: int, *, valid: bool = True) -> Order:
+        """Sent unchanged until it gets a clear answer."""
+        body = json.dumps(configuration).encode()
+        version = configuration.get("configVersion", 0)
+        order = Order("put", self.clock(), base=base, version=version, body=body, valid=valid)
+        headers = {"If-Match": str(base)}
+        return await self.give(order, "PUT", "/configuration", body, headers, 4 * self.limit)
+
+    async def evacuate(self, zone: str) -> Order:
+        order = Order("evacuate", self.clock(), zone=zone)
+        empty = {"Content-Length": "0"}
+        return await self.give(order, "POST", f"/evacuation/{zone}", None, empty, self.limit)
+
+    async def take_back(self, zone: str) -> Order:
+        order = Order("return", self.clock(), zone=zone)
+        return await self.give(order, "DELETE", f"/evacuation/{zone}", None, {}, self.limit)
+
+    async def give(self, order: Order, method: str, path: str, body: bytes | None, headers: dict,
+                   limit: float) -> Order:
+        self.history.orders.append(order)
+        answer = await self.ask(method, path, body, headers, self.clock() + limit)
+        order.ended_at = self.clock()
+        if answer is not None:
+            order.status, order.said = answer.status, answer.body[:300].decode(errors="replace")
+        return order
+
+    async def read_back(self, limit: float) -> bytes | None:
+        """The newest configuration, for as long as it takes up to `limit` s."""
+        answer = await self.ask("GET", "/configuration", None, {}, self.clock() + limit)
+        return answer.body if answer is not None and answer.status == 200 else None
+
+    async def ask(self, method: str, path: str, body: bytes | None, headers: dict,
+                  until: float) -> Answer | None:
+        """The first clear answer; None if none came by `until`."""
+        turn, others, pause = self.random.randrange(len(self.addresses)), 0, FIRST_PAUSE
+        while (left := until - self.clock()) > 0:
+            address = self.addresses[turn % len(self.addresses)]
+            try:
+                answer = await self.follow(address, method, path, body, headers, min(SILENCE, left))
+            except (*FAILURES, ValueError):
+                answer = None
+            if answer is not None and (answer.status < 300 or answer.status in ENDS):
+                return answer
+            if answer is not None and 400 <= answer.status < 500 and answer.status not in AGAIN:
+                others += 1
+                if others >= TRIES:
+                    return answer
+            turn += 1
+            await asyncio.sleep(max(0.0, min(pause * self.random.uniform(0.5, 1.0), until - self.clock())))
+            pause = min(2 * pause, LONGEST_PAUSE)
+        return None
+
+    async def follow(self, address: str, method: str, path: str, body: bytes | None, headers: dict,
+                     timeout: float) -> Answer:
+        """One address, and where it sends on to: twice at the most."""
+        for _ in range(3):
+            answer = await call(address, method, path, body, headers, timeout=timeout)
+            if answer.status != 307:
+                return answer
+            target = urlsplit(answer.headers.get("location", ""))
+            address, path = target.netloc, target.path
+        raise ValueError("is sent on too often")
+
+
+async def statuses(addresses: Sequence[str]) -> list[dict]:
+    """What each member that answers says of the system."""
+    async def one(address: str) -> dict | None:
+        try:
+            answer = await call(address, "GET", "/status", timeout=0.5)
+            return json.loads(answer.body) if answer.status == 200 else None
+        except (*FAILURES, ValueError):
+            return None
+    told = await asyncio.gather(*map(one, addresses))
+    return [status for status in told if status is not None]
--- /dev/null
+++ b/shedgrade/lab/system/orders.py
@@ -0,0 +1,103 @@
+"""The part of the judge that looks at orders: what was taken, what is in force, what is kept."""
+import json
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from shedgrade.lab.system.history import Breach, History, Order
+
+
+class Configurations:
+    """What each configuration that was sent allows. `taken`: those acknowledged, oldest first; `unclear`:
+    those that got no clear answer and may be in force."""
+
+    def __init__(self, orders: Iterable[Order]) -> None:
+        puts = [order for order in orders if order.verb == "put" and order.valid]
+        # Sent twice, the same configuration is one.
+        self.taken = sorted((order for order in puts if order.taken), key=lambda order: order.version)
+        self.unclear = [order for order in puts if not order.status]
+        self.refused = [order for order in puts if order.status and not order.taken]
+
+    @staticmethod
+    def services(order: Order, host: str, target: str) -> frozenset[str] | None:
+        """The services that a request may go to; None without a route."""
+        best, found = -1, None
+        for route in json.loads(order.body)["routeList"]:
+            prefix = route["pathPrefix"]
+            if route["host"] == host and target.startswith(prefix) and len(prefix) > best:
+                split = route.get("weightedSplit") or [{"service": route.get("service"), "weight": 1}]
+                best, found = len(prefix), frozenset(part["service"] for part in split if part["weight"] > 0)
+        return found
+
+    def may_be_in_force(self, sent_at: float, slack: float, calm: bool) -> list[Order]:
+        """For a request sent then: the newest that was acknowledged `slack` s before, and what came later;
+        all that were ever taken where it was not calm."""
+        old = [order for order in self.taken if order.ended_at + slack < sent_at] if calm else []
+        least = old[-1].version if old else 0
+        return [order for order in (*self.taken, *self.unclear) if order.version >= least]
+
+
+def taken(told: History) -> Iterator[Breach]:
+    """No invalid configuration is acknowledged, and of two on top of one version at most one."""
+    bases = defaultdict(set)
+    for order in told.orders:
+        if order.verb == "put" and order.taken:
+            if not order.valid:
+                yield Breach("CONFIG", f"invalid version {order.version} was acknowledged")
+            bases[order.base].add(order.body)
+    for base, bodies in bases.items():
+        if len(bodies) > 1:
+            yield Breach("CONFIG", f"{len(bodies)} changes on top of version {base} were acknowledged")
+
+
+def in_force(told: History, configurations: Configurations, bounds: dict[str, float]) -> Iterator[Breach]:
+    """Each run, and each 404, is as a configuration allows that may be in force."""
+    apply, contact = bounds["configApplyMs"] / 1000, bounds["contactMs"] / 1000
+    ever = [*configurations.taken, *configurations.unclear, *configurations.refused]
+    for run in told.runs:
+        one = told.tries.get(run.attempt)
+        if one is None or run.ran_at is None:
+            continue
+        host, target = one.kind.host, one.target
+        if not allowed(ever, host, target, run.service):
+            yield Breach("ROUTE", f"{run.service} ran {run.target}, which no configuration allows")
+            continue
+        calm = told.calm(one.sent_at - contact, run.at)
+        may = configurations.may_be_in_force(one.sent_at, apply, calm)
+        if not allowed(may, host, target, run.service):
+            yield Breach("CONFIG", f"{run.service} ran {run.target}, as only old or refused versions allow")
+    for one in told.tries.values():
+        calm = told.calm(one.sent_at - contact, one.ended_at)
+        may = configurations.may_be_in_force(one.sent_at, apply, calm)
+        if one.whole and one.status == 404 and may and all(
+                configurations.services(order, one.kind.host, one.target) for order in may):
+            yield Breach("CONFIG", f"{one.target} is answered 404 by {one.sidecar}, but has a route")
+
+
+def allowed(may: Iterable[Order], host: str, target: str, service: str) -> bool:
+    return any(service in (Configurations.services(order, host, target) or ()) for order in may)
+
+
+def kept(told: History) -> Iterator[Breach]:
+    """What was acknowledged is there at the end."""
+    puts = [order for order in told.orders if order.verb == "put" and order.valid]
+    acknowledged = max((order.version for order in puts if order.taken), default=0)
+    if acknowledged:
+        if told.read_back is None:
+            yield Breach("CONFIG", "no configuration came when it was read back")
+        else:
+            version = json.loads(told.read_back)["configVersion"]
+            sent = {order.body for order in puts if order.version == version and (
+                order.taken or not order.status)}
+            if version < acknowledged:
+                yield Breach("LOST", f"version {version} was read back, {acknowledged} had been acknowledged")
+            elif told.read_back not in sent:
+                yield Breach("CONFIG", f"what was read back as version {version} is not what was sent")
+    if told.evacuated_at_end is not None:
+        for zone, last in last_orders(told).items():
+            if last.taken and (last.verb == "evacuate") != (zone in told.evacuated_at_end):
+                yield Breach("LOST", f"the last order for {zone}, {last.verb}, is not there at the end")
+
+
+def last_orders(told: History) -> dict[str, Order]:
+    """Of each zone."""
+    return {order.zone: order for order in told.orders if order.zone}
--- /dev/null
+++ b/shedgrade/lab/system/platform.py
@@ -0,0 +1,104 @@
+"""The platform's list of upstreams. Source: PROTOCOL, "Service discovery"."""
+import json
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from shedgrade.findings import Finding
+from shedgrade.httpd import HttpServer, Reply, Request, failure
+from shedgrade.log import logger
+
+PAGE = 50               # entries of a page
+AVAILABLE, DRAINING = "available", "draining"
+
+
+@dataclass(slots=True)
+class Entry:
+    """An upstream on the list. `cold_until`, `gone_at`: on the caller's clock; `gone_at`: when one that is
+    taken away at short notice is gone."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str = AVAILABLE
+    cold_until: float = 0.0
+    gone_at: float | None = None
+
+    def told(self, now: float) -> dict:
+        told = {"instanceId": self.instance, "service": self.service, "address": self.address,
+                "zone": self.zone, "configVersion": "v1", "capacitySlots": self.slots, "state": self.state,
+                "coldLeftMs": max(0, round((self.cold_until - now) * 1000)), "stage": "dual",
+                "modelList": [{"name": "m", "configVersion": 1, "adapterList": []}]}
+        if self.gone_at is not None:
+            told["timeLeftMs"] = max(0, round((self.gone_at - now) * 1000))
+        return told
+
+
+class InstanceDirectory:
+    """The list as it is, and as it is shown: `lag` s later. `rate`: calls a second of all callers."""
+
+    def __init__(self, lag: float, rate: float) -> None:
+        self.lag, self.rate = lag, rate
+        self.versions: deque[tuple[float, tuple[Entry, ...]]] = deque([(float("-inf"), ())])
+        self.calls: deque[float] = deque()
+        self.refused = 0
+        self.shown_draining: dict[str, float] = {}      # by instance: when the list first showed it leaving
+
+    def set(self, now: float, entries: list[Entry]) -> None:
+        """The list is these from now on; those who ask see it once the lag has passed."""
+        copies = tuple(Entry(*(getattr(entry, name) for name in Entry.__slots__)) for entry in entries)
+        before = {entry.instance for entry in self.versions[-1][1] if entry.state == AVAILABLE}
+        self.versions.append((now, copies))
+        after = {entry.instance for entry in copies if entry.state == AVAILABLE}
+        for name in before - after:
+            self.shown_draining.setdefault(name, now + self.lag)
+
+    def shown(self, now: float) -> tuple[Entry, ...]:
+        while len(self.versions) > 1 and self.versions[1][0] <= now - self.lag:
+            self.versions.popleft()
+        return self.versions[0][1]
+
+    def allows(self, now: float) -> bool:
+        while self.calls and self.calls[0] <= now - 1.0:
+            self.calls.popleft()
+        if len(self.calls) >= self.rate:
+            self.refused += 1
+            return False
+        self.calls.append(now)
+        return True
+
+    def page(self, now: float, zone: str | None, token: str | None) -> dict:
+        """Entries from where the token says, and the token of the next page."""
+        shown = [entry for entry in self.shown(now) if zone in (None, "", entry.zone)]
+        digits = (token or "p-0").removeprefix("p-")
+        first = int(digits) if digits.isdigit() else 0
+        rest = first + PAGE < len(shown)
+        return {"instanceList": [entry.told(now) for entry in shown[first:first + PAGE]],
+                "nextToken": f"p-{first + PAGE}" if rest else None}
+
+
+class PlatformServer:
+    """`GET /instances` on one address."""
+
+    def __init__(self, loop, address: tuple[str, int], directory: InstanceDirectory,
+                 clock: Callable[[], float]) -> None:
+        self.directory, self.clock = directory, clock
+        self.server = HttpServer(loop, address, self.handle, logger)
+
+    async def start(self) -> None:
+        await self.server.start()
+
+    def close(self) -> None:
+        self.server.close()
+
+    def handle(self, request: Request, tell) -> None:
+        now = self.clock()
+        if request.method != b"GET" or request.path != b"/instances":
+            tell(failure(404, Finding("request", "no such call")))
+        elif not self.directory.allows(now):
+            tell(Reply(429))
+        else:
+            page = self.directory.page(now, request.query.get("zone"), request.query.get("pageToken"))
+            tell(Reply(200, json.dumps(page).encode()))
--- /dev/null
+++ b/shedgrade/lab/system/world.py
@@ -0,0 +1,166 @@
+"""A site with all its parts: processes, platform, upstreams, clients, operators."""
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from shedgrade.engines import EngineSettings
+from shedgrade.lab.system.clients import Clients
+from shedgrade.lab.system.fleet import Fleet
+from shedgrade.lab.system.history import Asked, History, Kind
+from shedgrade.lab.system.launcher import Launcher
+from shedgrade.lab.system.operators import Operator, statuses
+from shedgrade.lab.system.platform import InstanceDirectory, PlatformServer
+from shedgrade.lab.system.site import CORE, DIRECTORY, Site
+
+LOOK = 0.05         # s between two looks at something that others bring about
+
+
+class World:
+    """Brings a site up and down. `services`: of each upstream; `kinds`: what clients ask for."""
+
+    def __init__(self, site: Site, folder: Path, services: list[str], engines: dict[str, EngineSettings],
+                 kinds: list[Kind], seed: int) -> None:
+        self.site, self.kinds, self.random = site, kinds, Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.clock = self.loop.time
+        self.key = self.random.randbytes(16)
+        self.history = History()
+        self.directory = InstanceDirectory(site.max_lag_ms / 1000, site.rate_per_s)
+        self.platform = PlatformServer(self.loop, site.platform(), self.directory, self.clock)
+        self.fleet = Fleet(self.loop, site, services, engines, self.directory, self.history,
+                           Random(seed + 1), self.key)
+        self.launcher = Launcher(site, folder)
+        self.operator = self.make_operator()
+        self.clients = {zone: Clients(zone, region, self.registries(zone), self.history,
+                                      Random(self.random.getrandbits(32)), self.clock,
+                                      site.bounds["ttl_max_s"]) for zone, region in site.zones.items()}
+        self.tasks: set[asyncio.Task] = set()
+        self.number = 0
+        self.generating: list[asyncio.Task] = []
+
+    def make_operator(self) -> Operator:
+        return Operator(self.site.control(), self.history, Random(self.random.getrandbits(32)), self.clock,
+                        self.site.bounds["ackMs"] / 1000)
+
+    def registries(self, zone: str) -> list[str]:
+        """Nearest first."""
+        region = self.site.zones[zone]
+        near = sorted(self.site.of(CORE), key=lambda core: (core.zone != zone, core.region != region))
+        return [core.address(DIRECTORY) for core in near]
+
+    # --- up and down
+
+    async def __aenter__(self) -> "World":
+        try:
+            await self.platform.start()
+            await self.fleet.start_all()
+            await self.launcher.start_all()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *failure) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        await self.quiet()
+        await self.launcher.close()
+        for clients in self.clients.values():
+            clients.close()
+        self.fleet.close()
+        self.platform.close()
+        await asyncio.sleep(0)
+
+    async def until(self, condition: Callable[[], object], limit: float) -> object:
+        """What `condition` (plain, or a coroutine function) says once it is true. TimeoutError after `limit`
+        s."""
+        async with asyncio.timeout(limit):
+            while True:
+                told = condition()
+                if asyncio.iscoroutine(told):
+                    told = await told
+                if told:
+                    return told
+                await asyncio.sleep(LOOK)
+
+    # --- what is known of the system
+
+    async def status(self) -> list[dict]:
+        return await statuses(self.site.control())
+
+    async def primary(self) -> str | None:
+        """The name of the machine that acts as primary, by the newest epoch that any member tells of."""
+        told = [one for one in await self.status() if one["role"] == "primary"]
+        return max(told, key=lambda one: one["epoch"])["node"] if told else None
+
+    async def in_force(self) -> dict[str, int | None]:
+        """The version that each edge holds, as its member knows it."""
+        held: dict[str, int | None] = {}
+        for status in await self.status():
+            for edge in status["edges"]:
+                if edge["configVersion"] is not None:
+                    held[edge["name"]] = max(edge["configVersion"], held.get(edge["name"]) or 0)
+        return held
+
+    async def serving(self) -> bool:
+        """Every client would be told of some edge."""
+        for clients in self.clients.values():
+            await clients.resolve(self.kinds[0].host)
+        return all(clients.addresses for clients in self.clients.values())
+
+    # --- traffic
+
+    def traffic(self, share: float = 1.0) -> None:
+        """An open loop: each kind at its rate, from every zone alike, by chance."""
+        for kind in self.kinds:
+            task = self.loop.create_task(self.arrivals(kind, share, Random(self.random.getrandbits(32))))
+            self.generating.append(task)
+
+    async def arrivals(self, kind: Kind, share: float, random: Random) -> None:
+        at = self.clock()
+        while True:
+            at += random.expovariate(kind.rate * share)
+            await asyncio.sleep(max(0.0, at - self.clock()))
+            self.ask(kind, random.choice(list(self.clients)))
+
+    def ask(self, kind: Kind, zone: str) -> asyncio.Task:
+        """One request of a client in a zone; the task's result is its `Asked`."""
+        self.number += 1
+        task = self.loop.create_task(self.clients[zone].play(self.number, kind))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def quiet(self) -> list[Asked]:
+        """No more requests; those in hand come to their end."""
+        for task in self.generating:
+            task.cancel()
+        await asyncio.gather(*self.generating, return_exceptions=True)
+        self.generating.clear()
+        return list(await asyncio.gather(*self.tasks))
+
+    # --- troubles
+
+    def trouble(self, what: str) -> int:
+        """From now on, until `calmed`; rules bound by time do not hold. Its number."""
+        self.history.troubles.append((self.clock(), float("inf"), what))
+        return len(self.history.troubles) - 1
+
+    def calmed(self, number: int) -> None:
+        begun, _, what = self.history.troubles[number]
+        self.history.troubles[number] = (begun, self.clock() + self.site.bounds["contactMs"] / 1000, what)
+
+    async def kill(self, name: str) -> int:
+        """Number of the trouble."""
+        number = self.trouble(f"{name} killed")
+        await self.launcher.kill(name)
+        return number
+
+    async def read_back(self) -> None:
+        """At the end: what the system says it holds."""
+        self.history.read_back = await self.operator.read_back(2 * self.site.bounds["contactMs"] / 1000)
+        told = await self.status()
+        if told:
+            self.history.evacuated_at_end = tuple(max(told, key=lambda one: one["finished"])["evacuations"])
--- /dev/null
+++ b/tests/labsystem/test_system_platform.py
@@ -0,0 +1,79 @@
+"""The platform's list as a stand-in: what is shown when, pages, the rate, what leaves."""
+import asyncio
+import json
+from dataclasses import replace
+
+from shedgrade.lab.system.calls import call
+from shedgrade.lab.system.platform import DRAINING, PAGE, Entry, InstanceDirectory, PlatformServer
+
+
+def entry(number=1, zone="quay", **more):
+    return Entry(**{"instance": f"i-{number}", "service": "lm", "address": "127.0.0.1:9000", "zone": zone,
+                    "slots": 4, **more})
+
+
+def names(page):
+    return [one["instanceId"] for one in page["instanceList"]]
+
+
+def test_the_list_trails_by_its_lag():
+    directory = InstanceDirectory(0.5, 10)
+    directory.set(1.0, [entry()])
+    assert names(directory.page(1.4, None, None)) == []
+    assert names(directory.page(1.6, None, None)) == ["i-1"]
+    directory.set(2.0, [entry(), entry(2)])
+    directory.set(2.1, [entry(2)])
+    assert names(directory.page(2.3, None, None)) == ["i-1"]
+    assert names(directory.page(2.55, None, None)) == ["i-1", "i-2"]
+    assert names(directory.page(2.7, None, None)) == ["i-2"]
+
+
+def test_what_changes_later_is_not_shown_sooner():
+    directory = InstanceDirectory(0.5, 10)
+    one = entry()
+    directory.set(1.0, [one])
+    one.state = DRAINING
+    assert directory.page(2.0, None, None)["instanceList"][0]["state"] == "available"
+    directory.set(2.0, [one])
+    assert directory.page(2.6, None, None)["instanceList"][0]["state"] == "draining"
+    assert directory.shown_draining == {"i-1": 2.5}
+
+
+def test_pages_follow_each_other_and_zones_are_told_apart():
+    directory = InstanceDirectory(0.0, 10)
+    directory.set(0.0, [entry(number, "quay" if number % 2 else "mill") for number in range(2 * PAGE + 3)])
+    seen, token = [], None
+    while True:
+        page = directory.page(1.0, None, token)
+        seen += names(page)
+        token = page["nextToken"]
+        if token is None:
+            break
+    assert seen == [f"i-{number}" for number in range(2 * PAGE + 3)]
+    assert len(names(directory.page(1.0, "mill", None))) == PAGE
+    assert {one["zone"] for one in directory.page(1.0, "mill", f"p-{PAGE}")["instanceList"]} == {"mill"}
+
+
+def test_an_entry_tells_how_long_it_is_cold_and_how_long_it_has_left():
+    told = replace(entry(), cold_until=3.0, gone_at=2.5).told(1.0)
+    assert told["coldLeftMs"] == 2000 and told["timeLeftMs"] == 1500
+    assert "timeLeftMs" not in entry().told(1.0) and entry(cold_until=3.0).told(4.0)["coldLeftMs"] == 0
+
+
+def test_calls_beyond_the_rate_get_429():
+    async def story():
+        loop = asyncio.get_running_loop()
+        now = [100.0]
+        directory = InstanceDirectory(0.0, 3)
+        directory.set(0.0, [entry()])
+        server = PlatformServer(loop, ("127.0.0.1", 0), directory, lambda: now[0])
+        await server.start()
+        address = f"127.0.0.1:{server.server.port}"
+        answers = [await call(address, "GET", "/instances") for _ in range(4)]
+        assert [answer.status for answer in answers] == [200, 200, 200, 429] and directory.refused == 1
+        assert names(json.loads(answers[0].body)) == ["i-1"]
+        now[0] += 1.1
+        assert (await call(address, "GET", "/instances?zone=mill")).body.count(b"i-1") == 0
+        assert (await call(address, "GET", "/other")).status == 404
+        server.close()
+    asyncio.run(story())
