--- /dev/null
+++ b/benchmarks/asking.py
@@ -0,0 +1,145 @@
+"""What edges that ask cost three core processes: `python benchmarks/asking.py [--edges N] [--upstreams N]`.
+
+Starts three core processes and plays a platform, of whose list `--moved` entries change each time it is read,
+and edges that only ask, all in this process: how many asks, whole lists, deltas and bytes there are in the
+first seconds, when all start at once, and afterwards; and the processor of each core process.
+"""
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import streams
+import uvloop
+
+from shedgrade import knowledge
+from shedgrade.dataplane.asking import Asker
+from shedgrade.knowledge import READY, EdgeState, ListMoved
+from shedgrade.link.peer import LinkError
+from shedgrade.link.tcp import Links
+
+SPAN = 5            # s of each measurement
+PAGE = 50           # entries
+
+
+class Platform:
+    """The list, in pages; some entries change each time its first page is read."""
+
+    def __init__(self, count: Counter, upstreams: int, moved: int) -> None:
+        self.count, self.moved, self.random = count, moved, Random(1)
+        zones = list(streams.ZONES)
+        self.entries = [{"instanceId": f"i-{number:08x}", "service": "model", "capacitySlots": 64,
+                         "address": f"10.9.{number >> 8}.{number & 255}:8080", "zone": zones[number % 3],
+                         "configVersion": "v1", "state": "available", "coldLeftMs": 0, "stage": "dual",
+                         "modelList": [{"name": "m", "configVersion": 1, "adapterList": []}]}
+                        for number in range(upstreams)]
+
+    async def serve(self, reader, writer) -> None:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            target = head.split(b" ")[1]
+            at = int(target.rpartition(b"p-")[2]) if b"p-" in target else 0
+            for entry in self.random.sample(self.entries, self.moved) if at == 0 else ():
+                entry["state"] = "draining" if entry["state"] == "available" else "available"
+            rest = f"p-{at + PAGE}" if at + PAGE < len(self.entries) else None
+            body = json.dumps({"instanceList": self.entries[at:at + PAGE], "nextToken": rest}).encode()
+            self.count["platform's pages"] += 1
+            self.count["platform's bytes"] += len(body)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                         % len(body) + body)
+
+
+class Edge:
+    """One edge that asks, and does nothing with what it is told."""
+
+    def __init__(self, loop, number: int, count: Counter) -> None:
+        self.loop, self.count, self.tasks = loop, count, set()
+        address = f"127.0.6.{number % 250}:{7300 + number}"
+        state = EdgeState(f"edge-{number}", address, "zone-a", "region-a", number, READY)
+        self.links = Links(loop, address, lambda sender, frame: None, address.partition(":")[0])
+        self.asker = Asker(state, [f"{core}:7300" for core in streams.CORES], Random(number), loop.time(),
+                           beat=0.5)
+
+    def pump(self) -> None:
+        effects, self.asker.effects[:] = list(self.asker.effects), []
+        for effect in effects:
+            task = self.loop.create_task(self.call(effect))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        for update in self.asker.updates:
+            if isinstance(update, ListMoved):
+                self.count["whole lists" if update.whole else "deltas of the list"] += 1
+        self.asker.updates.clear()
+
+    async def call(self, effect) -> None:
+        try:
+            body = await self.links.call(effect.address, b"K" + knowledge.encode(effect.ask), effect.timeout)
+        except LinkError:
+            self.count["asks without an answer"] += 1
+            self.asker.failed(self.loop.time(), effect.address, effect.number)
+        else:
+            self.count["asks answered"] += 1
+            self.count["bytes told"] += len(body)
+            self.asker.answered(self.loop.time(), effect.address, knowledge.decode(body[1:]), effect.number)
+        self.pump()
+
+    async def run(self) -> None:
+        while True:
+            self.asker.tick(self.loop.time())
+            self.pump()
+            await asyncio.sleep(max(0.01, min(1.0, self.asker.wake_at() - self.loop.time())))
+
+
+async def play(options, processes: list) -> None:
+    loop, count = asyncio.get_running_loop(), Counter()
+    platform = Platform(count, options.upstreams, options.moved)
+    server = await asyncio.start_server(lambda *ends: streams.quietly(platform.serve, *ends),
+                                        *streams.PLATFORM)
+    await asyncio.sleep(4)          # the core processes found their system, one polls
+    edges = [Edge(loop, number, count) for number in range(options.edges)]
+    count.clear()
+    tasks = [loop.create_task(edge.run()) for edge in edges]
+    for called in ("first", "settling", "then"):
+        count.clear()
+        before = [streams.processor(process) for process in processes]
+        await asyncio.sleep(SPAN)
+        spent = [100 * (streams.processor(process) - was) / SPAN
+                 for process, was in zip(processes, before, strict=True)]
+        if called != "settling":
+            said = ", ".join(f"{name} {number / SPAN:.1f}" for name, number in sorted(count.items()))
+            print(f"{called} {SPAN} s, a second: {said}")
+            print(f"  core processes: {', '.join(f'{part:.0f}%' for part in spent)} of a core")
+    for task in tasks:
+        task.cancel()
+    server.close()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    for name, usual in (("edges", 300), ("upstreams", 3000), ("moved", 10), ("rate", 400)):
+        parser.add_argument(f"--{name}", type=int, default=usual)
+    options = parser.parse_args()
+    processes = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            for zone, ip in zip(streams.ZONES, streams.CORES, strict=True):
+                name = f"core-{zone[-1]}"
+                data = Path(folder, name)
+                data.mkdir()
+                listen = {"control": f"{ip}:8262", "directory": f"{ip}:8263"}
+                told = streams.settings(name, "core", ip, zone, listen, str(data))
+                told["cloudApi"]["ratePerS"] = float(options.rate)
+                processes.append(streams.start(folder, told))
+            uvloop.run(play(options, processes))
+        finally:
+            for process in processes:
+                process.terminate()
+            for process in processes:
+                process.wait()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
