Clients, launcher and the short play of the whole system under test

The demonstration is too long for each change. The short one starts five real processes among two stand-in upstreams, kills the primary under traffic, puts a configuration meanwhile, evacuates a zone, waits on what is seen only, and ends every process by its id.

--- /dev/null
+++ b/tests/labsystem/test_system_clients.py
@@ -0,0 +1,283 @@
+"""Clients and operators of the lab among scripted peers: they try again as PROTOCOL says, and no more."""
+import asyncio
+import json
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from shedgrade.engines import content
+from shedgrade.httpd import HttpServer, Reply
+from shedgrade.lab.system import history
+from shedgrade.lab.system.clients import Clients
+from shedgrade.lab.system.demo import KINDS, configuration
+from shedgrade.lab.system.history import History
+from shedgrade.lab.system.operators import Operator
+from shedgrade.log import logger
+
+KIND = {kind.name: replace(kind, retries=2) for kind in KINDS}
+
+
+class Sidecar:
+    """Answers each request as the next of `script` says; the last one goes on."""
+
+    def __init__(self, *script):
+        self.script, self.requests, self.connections, self.writers = list(script), [], 0, []
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                text = (await reader.readuntil(b"\r\n\r\n")).decode()
+                first, *lines = text.strip().split("\r\n")
+                request = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+                body = await reader.readexactly(int(request.get("content-length", 0)))
+                request["asked"] = content.digest(b"POST", first.split()[1].encode(), body)
+                self.requests.append(request)
+                step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                if step(request, writer) is False:
+                    break
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def answer(status=200, body=b"x", **more):
+    def step(request, writer):
+        lines = [f"HTTP/1.1 {status} Word", f"Attempt-Id: {request['attempt-id']}",
+                 f"Content-Length: {len(body)}"]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return more.get("Connection") != "close"
+    return step
+
+
+def stream(*events, ends=True):
+    def step(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     % request["attempt-id"].encode())
+        for number in events:
+            piece = content.event(request["asked"], number, 5)
+            writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+        if ends:
+            writer.write(b"0\r\n\r\n")
+        return ends
+    return step
+
+
+def closes(request, writer):
+    return False
+
+
+def silent(request, writer):
+    return True
+
+
+@asynccontextmanager
+async def clients(*sidecars, registries=None):
+    """Clients that are told of these sidecars."""
+    loop = asyncio.get_running_loop()
+    servers = [await asyncio.start_server(sidecar.serve, "127.0.0.1", 0) for sidecar in sidecars]
+    for sidecar, server in zip(sidecars, servers, strict=True):
+        sidecar.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    told, asked = History(), []
+
+    def resolve(request, tell):
+        asked.append(request.query)
+        addresses = [sidecar.address for sidecar in sidecars]
+        tell(Reply(200, json.dumps({"addressList": addresses, "ttlS": 60}).encode()))
+
+    registry = HttpServer(loop, ("127.0.0.1", 0), resolve, logger)
+    await registry.start()
+    group = Clients("quay", "north", [*(registries or ()), f"127.0.0.1:{registry.port}"], told, Random(1),
+                    loop.time, 60)
+    group.asked = asked
+    try:
+        async with asyncio.timeout(15):
+            yield group
+    finally:
+        group.close()
+        registry.close()
+        for server in servers:
+            server.close()
+        for sidecar in sidecars:
+            for writer in sidecar.writers:
+                writer.transport.abort()
+        await asyncio.sleep(0)
+
+
+def play(kind, *script, **more):
+    """The request as it ended, with the sidecar that answered it."""
+    async def story():
+        sidecar = Sidecar(*script)
+        async with clients(sidecar, **more) as group:
+            return await group.play(1, KIND[kind]), sidecar, group
+    return asyncio.run(story())
+
+
+def test_a_request_is_served_and_says_what_the_protocol_asks_for():
+    asked, sidecar, group = play("reply", stream(*range(1, 25)))
+    request = sidecar.requests[0]
+    assert asked.outcome == "served" and len(asked.tries) == 1 and asked.tries[0].events[-1][0] == 24
+    assert request["token-usage"] == "600,120" and request["prompt-prefix"] == "91bd3f06:200,00000001:400"
+    assert 9_000 < int(request["time-remaining"]) <= 10_000 and request["host"] == KIND["reply"].host
+    assert group.asked == [{"name": KIND["reply"].host, "region": "north", "zone": "quay"}]
+
+
+@pytest.mark.parametrize("kind, status, tries", [
+    ("find", 502, 2), ("find", 503, 2), ("book", 503, 2), ("book", 429, 2), ("book", 421, 2),
+    ("book", 408, 2), ("book", 502, 1), ("book", 504, 1), ("find", 404, 1), ("find", 400, 1),
+    ("find", 413, 1), ("digest", 502, 1)])
+def test_what_is_tried_again_after_a_failure(kind, status, tries):
+    events = stream(*range(1, KIND[kind].events + 1)) if KIND[kind].streams else answer()
+    asked, sidecar, _ = play(kind, answer(status), events)
+    assert len(sidecar.requests) == tries
+    assert asked.outcome == ("served" if tries == 2 else "failed")
+    assert len({request["attempt-id"] for request in sidecar.requests}) == tries
+    assert sidecar.connections == tries         # each further try is on a new connection
+
+
+@pytest.mark.parametrize("kind, tries", [("find", 2), ("book", 1)])
+def test_a_closed_connection_is_tried_again_where_a_repeat_does_no_harm(kind, tries):
+    asked, sidecar, _ = play(kind, closes, answer())
+    assert len(sidecar.requests) == tries and asked.tries[0].failure == history.CLOSED
+
+
+def test_a_refusal_at_the_end_is_told_apart_from_a_failure():
+    asked, sidecar, _ = play("book", answer(503))
+    assert asked.outcome == "refused" and len(sidecar.requests) == 3
+
+
+def test_retry_after_is_honoured():
+    asked, sidecar, _ = play("find", answer(503, Retry_After="0.3"), answer())
+    assert asked.tries[1].sent_at - asked.tries[0].ended_at >= 0.29
+
+
+def test_a_cut_stream_is_taken_up_behind_its_last_event():
+    asked, sidecar, _ = play("reply", stream(1, 2, 3, ends=False), stream(*range(4, 25)))
+    assert asked.outcome == "served" and sidecar.requests[1]["last-event-id"] == "3"
+    assert "last-event-id" not in sidecar.requests[0] and asked.tries[1].after == 3
+    assert [number for one in asked.tries for number, _, _ in one.events] == list(range(1, 25))
+
+
+def test_a_cut_stream_that_can_not_be_resumed_is_not_tried_again():
+    asked, sidecar, _ = play("digest", stream(1, 2, ends=False), stream(1))
+    assert asked.outcome == "failed" and len(sidecar.requests) == 1
+
+
+def test_connections_are_kept_unless_told_otherwise():
+    async def story(step):
+        sidecar = Sidecar(step)
+        async with clients(sidecar) as group:
+            for number in range(12):
+                await group.play(number, KIND["find"])
+        return sidecar.connections
+    assert asyncio.run(story(answer())) < 12
+    assert asyncio.run(story(answer(Connection="close"))) == 12
+    assert asyncio.run(story(answer(Keep_Alive="timeout=0"))) == 12
+
+
+def test_a_second_answer_is_told():
+    def twice(request, writer):
+        answer()(request, writer)
+        return answer()(request, writer)
+    asked, _, group = play("find", twice)
+    assert asked.tries[0].surplus and group.history.stray
+
+
+def test_an_address_that_failed_is_skipped():
+    async def story():
+        sidecars = Sidecar(closes), Sidecar(answer())
+        async with clients(*sidecars) as group:
+            ended = [await group.play(number, KIND["find"]) for number in range(8)]
+        assert all(asked.outcome == "served" for asked in ended) and len(sidecars[0].requests) <= 1
+    asyncio.run(story())
+
+
+def test_the_next_registry_is_asked_when_one_fails():
+    asked, _, _ = play("find", answer(), registries=["127.0.0.1:1"])
+    assert asked.outcome == "served"
+
+
+def test_a_client_gives_up_at_its_deadline():
+    async def story():
+        async with clients(Sidecar(silent)) as group:
+            asked = await group.play(1, replace(KIND["book"], deadline_ms=200))
+        assert asked.outcome == "failed" and asked.tries[0].failure == history.GIVEN_UP
+    asyncio.run(story())
+
+
+# --- operators
+
+def operate(script, story, count=2):
+    """`script(address number, request)` gives each reply, or None for no answer."""
+    async def run():
+        loop, servers, seen = asyncio.get_running_loop(), [], []
+
+        def handler(number):
+            def handle(request, tell):
+                seen.append((number, request))
+                reply = script(number, request)
+                if reply is not None:
+                    tell(reply)
+            return handle
+
+        for number in range(count):
+            servers.append(HttpServer(loop, ("127.0.0.1", 0), handler(number), logger))
+            await servers[-1].start()
+        addresses = [f"127.0.0.1:{server.port}" for server in servers]
+        operator = Operator(addresses, History(), Random(1), loop.time, 1.5)
+        operator.ports = [server.port for server in servers]
+        try:
+            async with asyncio.timeout(15):
+                return await story(operator), seen, operator
+        finally:
+            for server in servers:
+                server.close()
+    return asyncio.run(run())
+
+
+FIRST = configuration(1, KINDS, ["chat-lm", "lookup"])
+
+
+def test_a_put_is_sent_unchanged_until_it_gets_a_clear_answer():
+    replies = [Reply(503), Reply(429), Reply(200)]
+    order, seen, operator = operate(lambda number, request: replies.pop(0), lambda one: one.put(FIRST, 0))
+    assert order.taken and len(seen) == 3 and len({request.body for _, request in seen}) == 1
+    assert all(request.headers[b"if-match"] == b"0" for _, request in seen)
+    assert {number for number, _ in seen} == {0, 1} and operator.history.orders == [order]
+
+
+@pytest.mark.parametrize("status, calls", [(400, 1), (409, 1), (412, 1), (413, 1), (422, 1), (403, 3)])
+def test_a_call_ends_at_once_on_a_clear_refusal_and_on_another_at_the_third_try(status, calls):
+    order, seen, _ = operate(lambda number, request: Reply(status), lambda one: one.put(FIRST, 0))
+    assert order.status == status and len(seen) == calls
+
+
+def test_it_follows_where_it_is_sent():
+    def script(number, request):
+        if request.path == b"/configuration":
+            location = b"http://%s/elsewhere" % request.headers[b"host"]
+            return Reply(307, headers=((b"Location", location),))
+        return Reply(200)
+    order, seen, _ = operate(script, lambda one: one.put(FIRST, 0))
+    assert order.taken and seen[1][1].path == b"/elsewhere" and seen[1][1].body == seen[0][1].body
+
+
+def test_evacuations_are_sent_for_a_limited_time():
+    order, seen, _ = operate(lambda number, request: Reply(503), lambda one: one.evacuate("quay"))
+    assert order.status == 0 and not order.taken and len(seen) > 2
+    assert seen[0][1].method == b"POST" and seen[0][1].path == b"/evacuation/quay"
+    order, seen, _ = operate(lambda number, request: Reply(200), lambda one: one.take_back("quay"))
+    assert order.taken and seen[0][1].method == b"DELETE"
+
+
+def test_reading_back_gives_what_is_there():
+    body, _, _ = operate(lambda number, request: Reply(200, b"{}"), lambda one: one.read_back(1.0))
+    assert body == b"{}"
+    body, _, _ = operate(lambda number, request: Reply(503), lambda one: one.read_back(0.3))
+    assert body is None
--- /dev/null
+++ b/tests/labsystem/test_system_launcher.py
@@ -0,0 +1,102 @@
+"""Settings files of the lab's machines, and the processes that are started with them."""
+import asyncio
+import os
+from random import Random
+
+import pytest
+import yaml
+
+from shedgrade.boot import reading
+from shedgrade.engines import EngineSettings
+from shedgrade.lab.system.demo import demo_site
+from shedgrade.lab.system.fleet import Fleet
+from shedgrade.lab.system.history import History
+from shedgrade.lab.system.launcher import Launcher
+from shedgrade.lab.system.lines import quantile
+from shedgrade.lab.system.platform import InstanceDirectory
+from shedgrade.lab.system.site import CORE, EDGE
+
+
+def test_each_machine_has_its_own_address_and_settings_that_a_process_takes(tmp_path):
+    site = demo_site()
+    machines = site.machines()
+    assert len({machine.ip for machine in machines}) == len(machines) == 7
+    for machine in machines:
+        path = tmp_path / f"{machine.name}.yaml"
+        site.write(machine, path, tmp_path if machine.kind == CORE else None, True)
+        settings = reading.check(yaml.safe_load(path.read_text()))
+        assert settings.node_name == machine.name and settings.initial_start
+        assert settings.seeds == tuple(site.control()) and settings.tolerated.machines == 1
+        assert set(settings.listen) == ({"control", "directory"} if machine.kind == CORE else
+                                        {"front", "readiness"})
+        assert (settings.data_dir is None) == (machine.kind == EDGE)
+        assert settings.cloud_api.address == site.platform()
+
+
+async def said(launcher, name, port):
+    """Until somebody listens at the machine's port."""
+    address = launcher.machines[name].ip
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(address, port)
+            except OSError:
+                await asyncio.sleep(0.01)
+                continue
+            writer.transport.abort()
+            return
+
+
+def test_processes_are_started_stopped_killed_and_wiped_one_by_one(tmp_path):
+    async def story():
+        launcher = Launcher(demo_site(), tmp_path)
+        try:
+            await asyncio.gather(launcher.start("core-1"), launcher.start("edge-1"))
+            await asyncio.gather(said(launcher, "core-1", 8262), said(launcher, "edge-1", 8161))
+            ids = {name: process.pid for name, process in launcher.processes.items()}
+            with pytest.raises(RuntimeError):
+                launcher.wipe("core-1")
+            await launcher.kill("core-1")
+            assert launcher.ended() == ["core-1"] and launcher.running("edge-1")
+            (tmp_path / "core-1" / "left").write_bytes(b"on its disk")
+            launcher.wipe("core-1")
+            assert not (tmp_path / "core-1").exists()
+            await launcher.start("core-1")
+            told = yaml.safe_load((tmp_path / "core-1.yaml").read_text())
+            assert told["initialStart"] is False and launcher.processes["core-1"].pid != ids["core-1"]
+            assert await launcher.stop("edge-1") == 0
+        finally:
+            await launcher.close()
+        for process in launcher.processes.values():
+            with pytest.raises(ProcessLookupError):
+                os.kill(process.pid, 0)
+    asyncio.run(story())
+
+
+def test_the_list_follows_the_upstreams():
+    async def story():
+        loop, told = asyncio.get_running_loop(), History()
+        site = demo_site()
+        directory = InstanceDirectory(0.0, 100)
+        engines = {"lm": EngineSettings(cold_s=5.0)}
+        fleet = Fleet(loop, site, ["lm", "lm"], engines, directory, told, Random(1), b"k")
+        try:
+            first, second = await fleet.start(0), await fleet.start(1, cold=True)
+            shown = {one.instance: one for one in directory.shown(loop.time())}
+            assert set(shown) == {first.upstream.instance, second.upstream.instance}
+            assert shown[second.upstream.instance].cold_until > loop.time() + 4
+            fleet.drain(0)
+            assert fleet.available() == 1 and first.draining and first.upstream.instance in told.drained
+            fleet.crash(1)
+            again = await fleet.start(1)
+            assert again.upstream.instance != second.upstream.instance and told.troubles
+            assert again.upstream.address == second.upstream.address
+            fleet.gone(first)
+            assert len(fleet.entries) == 2
+        finally:
+            fleet.close()
+    asyncio.run(story())
+
+
+def test_quantiles():
+    assert [quantile([5.0, 1.0, 3.0, 2.0, 4.0], part) for part in (0.2, 0.5, 0.99)] == [1.0, 3.0, 5.0]
--- /dev/null
+++ b/tests/labsystem/test_system_short.py
@@ -0,0 +1,72 @@
+"""The whole system as real processes: traffic, the primary killed under it, and the judge's verdict."""
+import asyncio
+import os
+
+import pytest
+
+from shedgrade.engines import EngineSettings
+from shedgrade.lab.system import demo
+from shedgrade.lab.system.judge import judge, verdict
+from shedgrade.lab.system.site import Site
+from shedgrade.lab.system.world import World
+
+ZONES = {"quay": "north", "fell": "west"}
+ENGINES = {demo.MODEL: EngineSettings(step_s=0.002), demo.LOOKUP: EngineSettings(step_s=0.002)}
+
+
+async def served(world, zone, kind, count=1):
+    ended = await asyncio.gather(*(world.ask(kind, zone) for _ in range(count)))
+    return [one.outcome for one in ended]
+
+
+async def play(folder):
+    site = Site(demo.network(), ZONES, ("quay", "fell", "quay"), ("quay", "fell"), ("quay", "fell"))
+    async with World(site, folder, [demo.MODEL, demo.LOOKUP], ENGINES, demo.KINDS, 7) as world:
+        first = await world.operator.put(demo.configuration(1, demo.KINDS, list(ENGINES)), 0)
+        assert first.taken, first.said
+        await demo.begin(world)
+        digest, reply, find, book = demo.KINDS
+        for zone in ZONES:
+            for kind in (reply, find, book):
+                assert await served(world, zone, kind) == ["served"]
+        assert await served(world, "quay", digest) == ["served"]
+
+        world.traffic()
+        primary = await world.until(world.primary, 10)
+        number = await world.kill(primary)
+        second = await world.operator.put(demo.configuration(4, demo.KINDS, list(ENGINES), find=2_500), 1)
+        assert second.taken, second.said
+        assert await served(world, "fell", reply, 3) == ["served"] * 3
+        await world.launcher.start(primary)
+        world.calmed(number)
+        assert await world.until(world.primary, 10) not in (None, primary)
+
+        async def in_force():
+            held = await world.in_force()
+            return len(held) == 2 and set(held.values()) == {4}
+
+        async def whole():
+            return len(await world.status()) == 3
+
+        await world.until(in_force, 10)
+        await world.until(whole, 10)
+        evacuated = await world.operator.evacuate("fell")
+        assert evacuated.taken
+        await world.quiet()
+        await world.read_back()
+        assert world.launcher.ended() == []
+        assert world.history.evacuated_at_end == ("fell",)
+        found = judge(world.history, world.key, ZONES, site.bounds)
+        assert not found, verdict(found)
+        outcomes = [one.outcome for one in world.history.requests]
+        assert outcomes.count("served") > 0.9 * len(outcomes) and len(outcomes) > 20
+    return [process.pid for process in world.launcher.processes.values()]
+
+
+def test_a_system_of_five_machines_outlives_its_primary_and_breaks_no_rule(tmp_path):
+    async def story():
+        async with asyncio.timeout(90):
+            return await play(tmp_path)
+    for process in asyncio.run(story()):
+        with pytest.raises(ProcessLookupError):
+            os.kill(process, 0)
