Upstreams stay cold as long as the list said, and no longer

Cause: what is left of being cold was counted anew from each change of the list, so new and returned upstreams got a trickle for as long as anything moved, and what was bound to a home crowded at the last warm one (21 in flight of one edge).

--- a/shedgrade/dataplane/service.py
+++ b/shedgrade/dataplane/service.py
@@ -1,5 +1,5 @@
 """One service: its upstreams by region, their decisions, the turn and the caller."""
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from shedgrade import decide
 from shedgrade.dataplane.caller import EngineCaller
@@ -33,20 +33,23 @@
         self.turn = Turn(loop, clock, self.balancer, self.caller, self.indices.ids, budget, self.forget)
         self.caller.turn = self.turn
 
-    def retuned(self, cold_s: float, cold_rate: float) -> None:
-        """As the operator's configuration says of the service."""
+    def retuned(self, cold_s: float, cold_rate: float, excess: float, slack: float) -> None:
+        """As the operator's configuration says of the service, and the deployment's bounds: a cold upstream
+        may get `cold_rate` x `excess` + `slack` requests within a second."""
         self.cold_s, self.balancer.cold_rate = cold_s, cold_rate
+        self.balancer.cold_bound = cold_rate * excess + slack if cold_rate else 0.0
 
     def counted(self, sidecars: int) -> None:
         """The largest count of sidecars known lately."""
         self.balancer.sidecars = self.repeats.sidecars = max(1, sidecars)
 
-    def listed(self, instances: Iterable[Instance], region_of: dict[str, str], evacuated: frozenset[str],
-               returned: frozenset[str] = frozenset()) -> None:
-        """The whole list of this service's upstreams. What is evacuated counts as draining; what has just
-        `returned` from that counts as cold, as it may be, until the list is sure to say so itself."""
+    def listed(self, instances: Iterable[tuple[Instance, float]], region_of: dict[str, str],
+               evacuated: frozenset[str], returned: Mapping[str, float]) -> None:
+        """The whole list of this service's upstreams, each with the seconds for which it stays cold. What is
+        evacuated counts as draining; what has `returned` from that, so many seconds ago, counts as cold from
+        then on, as it may be, whatever the list that lags says."""
         now, rows, leaving = self.clock.now(), [], []
-        for one in instances:
+        for one, cold_left in instances:
             region = region_of.get(one.zone)
             host, _, port = one.address.rpartition(":")
             if region is None or not host or not port.isdigit():
@@ -58,10 +61,9 @@
             index = row[0]
             if self.addresses.move(index, (host, int(port))) or not ready:
                 leaving.append(index)
-            cold = now + int(one.cold_left_ms * 10) if one.cold_left_ms > 0 else 0
-            if ready and one.zone in returned:
-                cold = max(cold, now + int(self.cold_s * 10_000))
-            self.balancer.cold_until[index] = max(cold, self.balancer.cold_until.get(index, 0))
+            if one.zone in returned:
+                cold_left = max(cold_left, self.cold_s - returned[one.zone])
+            self.balancer.cold_until[index] = now + max(0, int(cold_left * 10_000))
         named = {row[0] for row in rows}
         leaving += [index for index in self.states if index not in named]
         self.states = {row[0]: row[2] for row in rows}
--- a/shedgrade/serving/cold.py
+++ b/shedgrade/serving/cold.py
@@ -9,13 +9,14 @@
 from shedgrade.decide.upstream import SECOND, Upstream
 
 PART = 0.7          # of the rate is dealt: the count of sidecars lags, and sends bunch on their way
-FEW = 4             # sidecars for one cold upstream, where there are more
+FEW = 4             # sidecars for one cold upstream, where all, with one at once each, would be too many
 
 
 class ColdShares:
     """The part of `decide.Cold` that differs: who is cold is told by the list, for how long and at what
     rate."""
     cold_rate = 0.0         # requests a second that a cold upstream bears, all sidecars together
+    cold_bound = 0.0        # the most that it may get within any second
     sidecars, name = 1, ""  # the largest count of sidecars known lately; this one's name
 
     def is_cold(self, up: Upstream, now: int) -> bool:
@@ -23,7 +24,7 @@
 
     def cold_share(self, up: Upstream) -> float:
         """Requests a second that this sidecar may send it."""
-        if self.sidecars <= FEW or not self.cold_rate:
+        if self.sidecars <= max(FEW, self.cold_bound - PART * self.cold_rate) or not self.cold_rate:
             return PART * self.cold_rate / max(1, self.sidecars)
         chosen = crc32(b"%d:%s" % (up.mark or 0, self.name.encode())) / 2**32 < FEW / self.sidecars
         return PART * self.cold_rate / FEW if chosen else 0.0
--- a/shedgrade/serving/repeats.py
+++ b/shedgrade/serving/repeats.py
@@ -21,6 +21,16 @@
         self.counts: deque[list[int]] = deque()     # [tenth, requests, repeats], the oldest first
         self.requests = self.repeats = 0
 
+    def retune(self, ratio: float, slack: float, window: int) -> None:
+        """Other bounds, as of a start. With another window, repeats so far go on counting and requests don't:
+        guards against more repeats than either window allows."""
+        self.ratio, self.slack, window = ratio, slack, max(SECOND, window)
+        if window == self.window:
+            return
+        newest = self.counts[-1][0] * self.step if self.counts else 0
+        self.window, self.step, self.requests = window, window // 10, 0
+        self.counts = deque([[newest // self.step, 0, self.repeats]])
+
     def look(self, now: int) -> None:
         tenth = now // self.step
         while self.counts and self.counts[0][0] < tenth - 10:
--- a/tests/dataplane/ingress_rig.py
+++ b/tests/dataplane/ingress_rig.py
@@ -15,7 +15,8 @@
 from shedgrade.memory.budget import Budget
 from shedgrade.wire.application import Listener
 
-BOUNDS = {"retryBudgetRatio": 0.2, "retrySlack": 50.0, "retryWindowS": 10.0}
+BOUNDS = {"retryBudgetRatio": 0.2, "retrySlack": 50.0, "retryWindowS": 10.0, "coldExcess": 1.5,
+          "coldSlack": 5}
 SETTINGS = SimpleNamespace(zones={"z1": "east", "z2": "west"}, region="east", bounds=BOUNDS,
                            cloud_api=SimpleNamespace(max_lag_ms=800))
 
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -1,6 +1,8 @@
 """Requests through a sidecar on loopback: what goes on, what comes back, and what each failure becomes."""
 import asyncio
+import dataclasses
 
+import msgspec
 import pytest
 from ingress_rig import (
     LAST,
@@ -17,6 +19,9 @@
     whole,
 )
 
+from shedgrade.configuration import Service
+from shedgrade.knowledge import ControlChange, ListMoved
+
 
 def run(coroutine):
     return asyncio.run(coroutine)
@@ -426,3 +431,43 @@
             assert await client.head() == 200
         assert not pool.balancer.ups[index].aside_until
     run(play())
+
+
+def test_what_is_cold_stays_so_as_long_as_the_list_said_however_often_it_is_looked_at():
+    async def play():
+        upstream = Upstream("i-1", plain)
+        async with sidecar(configuration(route(route_class="safe")), upstream) as plane:
+            state, pool = plane.state, plane.services["lm"]
+            index = pool.indices.by_id["i-1"]
+            at = [state.now()]
+            state.now = lambda: at[0]
+            told = state.instances["i-1"]
+            state.moved(ListMoved(1, 2, 0.0, 1, 1, (msgspec.structs.replace(told, cold_left_ms=3000),)))
+            until = pool.balancer.cold_until[index]
+            at[0] += 2.0
+            state.relist(["lm"])
+            left = pool.balancer.cold_until[index] - pool.clock.now()
+            assert 9_000 <= left <= 10_000 and pool.balancer.cold_until[index] < until
+            at[0] += 2.0
+            state.relist(["lm"])
+            assert pool.balancer.cold_until[index] <= pool.clock.now()
+    run(play())
+
+
+def test_what_comes_back_from_an_evacuation_is_cold_from_then_on_for_its_usual_time():
+    async def play():
+        upstream = Upstream("i-1", plain)
+        told = configuration(route(route_class="safe"))
+        told = dataclasses.replace(told, services=[Service("lm", cold_start_s=3.0, cold_rate_s=11.0)])
+        async with sidecar(told, upstream) as plane:
+            state, pool = plane.state, plane.services["lm"]
+            index = pool.indices.by_id["i-1"]
+            at = [state.now()]
+            state.now = lambda: at[0]
+            state.controlled(ControlChange(1, 2, 7, None, ("z1",)))
+            state.controlled(ControlChange(1, 3, 7, None, ()))
+            assert 29_000 <= pool.balancer.cold_until[index] - pool.clock.now() <= 30_000
+            at[0] += 3.1
+            state.relist(["lm"])
+            assert pool.balancer.cold_until[index] <= pool.clock.now()
+    run(play())
