Settings are read anew on SIGHUP and when their file changed

Both programs ignored SIGHUP and never looked at their file again. Bounds, the platform's address and rate, and zones of known regions now hold from then on; a bad file is told a line a finding and the old settings stay, the rest is named as what only a start changes. Programs also refuse settings without the addresses or the disk they need, and write what the log held back when they end. Tried with real processes.

--- a/shedgrade/boot/reading.py
+++ b/shedgrade/boot/reading.py
@@ -55,6 +55,18 @@
     return check(told)
 
 
+def require(settings: Settings, listen: Iterable[str] = (), disk: bool = False) -> None:
+    """SettingsError if a program's addresses to listen on, by their names, or its disk are left out."""
+    found = Findings()
+    for name in listen:
+        if name not in settings.listen:
+            found.add(f"listenAddresses.{name}", "is missing")
+    if disk and settings.data_dir is None:
+        found.add("dataDir", "is missing")
+    if found:
+        raise SettingsError(found)
+
+
 def check(told: dict) -> Settings:
     """Settings from the fields as in the file; unknown ones are ignored. SettingsError as for `load`."""
     found = Findings()
--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from shedgrade import knowledge
-from shedgrade.boot import Settings
+from shedgrade.boot import Reload, Settings, Watched
 from shedgrade.controlplane import duties as duty
 from shedgrade.controlplane.channels import DUTIES, KNOWLEDGE, ORDERS, REPLICATION
 from shedgrade.controlplane.delivery import Hub
@@ -44,7 +44,9 @@
 class ControlPlane:
     """Owns the member of the control state, the hub, the list, the duties, and all their sockets."""
 
-    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop, random: Random) -> None:
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop, random: Random,
+                 watched: Watched | None = None) -> None:
+        """`watched`: the settings file, which may change; None: there is none."""
         self.settings, self.loop, self.random = settings, loop, random
         own = self.own = settings.link_address
         now = loop.time()
@@ -72,6 +74,7 @@
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
         self.operators = Operators(self.ordering, self.status)
         self.directory = Directory(settings.zones, random, settings.bounds)
+        self.reload = Reload(settings, watched, self.resettled)
         self.http: list[HttpServer] = []
         self.timer = None
         self.wake = float("inf")
@@ -86,7 +89,7 @@
         self.loop.set_exception_handler(fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.leave)
-        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        self.loop.add_signal_handler(signal.SIGHUP, lambda: self.reload.look(self.loop.time(), told=True))
         self.disk.start()
         await self.server.start()
         await self.gossip.start()
@@ -143,6 +146,14 @@
         self.pump()
         if not self.left.is_set():
             self.loop.call_later(BEAT, self.beat)
+            self.reload.look(now)
+
+    def resettled(self, settings: Settings) -> None:
+        """The settings were read anew."""
+        self.settings = settings
+        self.member.decide = make_decide(settings.zones)
+        self.directory = Directory(settings.zones, self.random, settings.bounds)
+        self.poller.retarget(settings.cloud_api)
 
     def spread_edges(self, now: float) -> None:
         self.spread_at = now + SPREAD
--- a/shedgrade/controlplane/platform.py
+++ b/shedgrade/controlplane/platform.py
@@ -266,15 +266,22 @@
         """`cloud_api`: of the settings; `random`: seeded anew at each start. `told` is called after each
         whole list, with whether it changed. `period`: s from the start of one list to the next;
         longer where its pages would exceed the rate."""
-        self.loop, self.api, self.instances, self.told, self.period = loop, cloud_api, instances, told, period
+        self.loop, self.instances, self.told, self.period = loop, instances, told, period
         self.random, self.connection = random or Random(), connection
-        self.host = "{}:{}".format(*cloud_api.address).encode()
-        self.gap = 1 / (SHARE * cloud_api.rate_per_s)       # s between two calls
         self.task: asyncio.Task | None = None
         self.link = None
+        self.retarget(cloud_api)
         self.failed = 0         # lists running that did not come
         self.calls = 0
 
+    def retarget(self, cloud_api) -> None:
+        """`cloud_api` of settings that were read anew holds from the next call on."""
+        self.api = cloud_api
+        host = "{}:{}".format(*cloud_api.address).encode()
+        if self.link is not None and host != self.host:
+            self.link.transport.abort()
+        self.host, self.gap = host, 1 / (SHARE * cloud_api.rate_per_s)      # gap: s between two calls
+
     def start(self, term: int | None = None) -> None:
         """`term`: of the duty; the list is dated by it, and its numbers leap by chance.
 
--- a/shedgrade/dataplane/__main__.py
+++ b/shedgrade/dataplane/__main__.py
@@ -16,23 +16,29 @@
     import uvloop
     from docopt import docopt
 
-    from shedgrade.boot import SettingsError, explain, load
+    from shedgrade.boot import SettingsError, Watched, explain, require
     from shedgrade.log import hand
     from shedgrade.ring import Ring
 
     options = docopt(__doc__, arguments)
     try:
-        settings = load(options["--settings"])
+        watched = Watched(options["--settings"])
+        settings = watched.settings
+        require(settings, listen=("front", "readiness"))
     except SettingsError as wrong:
         print(explain(wrong), file=sys.stderr)
         return 2
-    hand(Ring(settings.node_name))
+    ring = Ring(settings.node_name)
+    hand(ring)
     from shedgrade.dataplane.plane import DataPlane
 
     async def run() -> None:
-        await DataPlane(settings, asyncio.get_running_loop(), SystemRandom()).serve()
+        await DataPlane(settings, asyncio.get_running_loop(), SystemRandom(), watched).serve()
 
-    uvloop.run(run())
+    try:
+        uvloop.run(run())
+    finally:
+        ring.flush()
     return 0
 
 
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from shedgrade import knowledge
-from shedgrade.boot import Settings
+from shedgrade.boot import Reload, Settings, Watched
 from shedgrade.clock import Clock
 from shedgrade.dataplane.asking import Asker, AskTo
 from shedgrade.dataplane.front import IngressFront
@@ -43,8 +43,11 @@
 class DataPlane:
     """Owns what is known, the services, the clients' side, and the asking."""
 
-    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop, random: Random) -> None:
+    def __init__(self, settings: Settings, loop: asyncio.AbstractEventLoop, random: Random,
+                 watched: Watched | None = None) -> None:
+        """`watched`: the settings file, which may change; None: there is none."""
         self.settings, self.loop, self.random = settings, loop, random
+        self.reload = Reload(settings, watched, self.resettled)
         self.clock = Clock()
         self.budget = Budget(max(256, settings.limits.file_descriptors - RESERVED), settings.limits.memory_mb)
         self.state = State(settings, loop.time, self.make_pool)
@@ -94,7 +97,7 @@
         self.loop.set_exception_handler(fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.leave)
-        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        self.loop.add_signal_handler(signal.SIGHUP, lambda: self.reload.look(self.loop.time(), told=True))
         listen = self.settings.listen
         self.listener = Listener(self.loop, self.front, listen["front"], IngressConnection)
         self.readiness = HttpServer(self.loop, listen["readiness"], self.tell_ready, logger)
@@ -158,6 +161,12 @@
             self.recount(now)
         if not self.done.is_set():
             self.loop.call_later(BEAT, self.beat)
+            self.reload.look(now)
+
+    def resettled(self, settings: Settings) -> None:
+        """The settings were read anew."""
+        self.settings = settings
+        self.state.resettled(settings)
 
     def look_after(self) -> None:
         self.front.look_after()
--- /dev/null
+++ b/tests/boot/test_reload.py
@@ -0,0 +1,132 @@
+"""Settings that change while a process runs: what holds, what waits for a start, what is refused."""
+import doctest
+from copy import deepcopy
+from types import SimpleNamespace
+
+import pytest
+import yaml
+from test_boot_settings import TOLD
+
+from shedgrade import log
+from shedgrade.boot import Reload, SettingsError, Watched, load, reload, require
+
+
+@pytest.fixture
+def lines():
+    """What is logged, each with its level before it."""
+    said = []
+
+    def sink(level):
+        return lambda text, *values: said.append(f"{level} {text.format(*values)}")
+    log.hand(SimpleNamespace(**{level: sink(level) for level in log.METHODS}))
+    yield said
+    log.hand(None)
+
+
+class Process:
+    """Settings in a file, and one that follows them."""
+
+    def __init__(self, path):
+        self.path, self.told, self.applied, self.now = path, deepcopy(TOLD), [], 0.0
+        self.write()
+        watched = Watched(str(path))
+        self.reload = Reload(watched.settings, watched, self.applied.append)
+
+    def write(self, text=None):
+        """Renamed into place, as a file that is written whole is."""
+        new = self.path.with_suffix(".new")
+        new.write_text(yaml.safe_dump(self.told) if text is None else text)
+        new.rename(self.path)
+
+    def look(self, told=False):
+        self.now += reload.EVERY
+        self.reload.look(self.now, told)
+        return self.applied
+
+
+@pytest.fixture
+def process(tmp_path):
+    return Process(tmp_path / "local.yaml")
+
+
+def test_an_unchanged_file_says_nothing(process, lines):
+    assert process.look() == process.look(told=True) == lines == []
+
+
+def test_bounds_the_platforms_address_and_zones_hold_without_a_signal(process, lines):
+    process.told["timingBounds"]["drainMs"] = 700
+    process.told["cloudApi"].update(address="10.200.0.9:8266", ratePerS=12.5)
+    process.told["zones"]["south-b"] = "south"
+    process.write()
+    [settings] = process.look()
+    assert settings.bounds["drain_ms"] == 700 and settings.zones["south-b"] == "south"
+    assert settings.cloud_api.address == ("10.200.0.9", 8266) and settings.cloud_api.rate_per_s == 12.5
+    assert lines == ["info settings are read anew: zones, timingBounds, cloudApi in force; "
+                     "only a start changes nothing"]
+    process.look()
+    assert len(process.applied) == 1
+
+
+def test_what_only_a_start_changes_is_named_as_in_the_file_and_stays(process, lines):
+    process.told.update(nodeName="edge-9", seedNodes=["10.1.0.77:8262"], internalPortRange=[7400, 7415])
+    process.told["timingBounds"]["drainMs"] = 700
+    process.write()
+    [settings] = process.look(told=True)
+    assert (settings.node_name, settings.internal_ports) == ("edge-1", (7300, 7315))
+    assert settings.seeds == ("10.1.0.14:8262", "10.2.0.41:8262") and settings.bounds["drain_ms"] == 700
+    assert lines == ["warning settings are read anew: timingBounds in force; "
+                     "only a start changes nodeName, internalPortRange, seedNodes"]
+
+
+def test_without_a_signal_what_waits_for_a_start_is_no_warning(process, lines):
+    process.told["initialStart"] = False
+    process.write()
+    assert process.look() == [] and lines == [
+        "info settings are read anew: nothing in force; only a start changes initialStart"]
+
+
+def test_a_bad_file_is_told_once_a_line_a_finding_and_the_old_stays(process, lines):
+    process.told["timingBounds"]["drainMs"] = "soon"
+    process.told["zones"] = 5
+    process.write()
+    assert process.look() == process.look() == []
+    assert len(lines) == 2 and all(line.startswith("warning the old settings stay in force: ")
+                                   for line in lines)
+    assert "timingBounds.drainMs" in lines[1] and process.reload.settings.bounds["drain_ms"] == 4500
+    process.write("{ half a fi")
+    process.look()
+    assert len(lines) == 3
+    process.told = deepcopy(TOLD)
+    process.told["timingBounds"]["drainMs"] = 900
+    process.write()
+    assert process.look()[0].bounds["drain_ms"] == 900
+
+
+def test_the_file_is_looked_at_once_a_second_or_as_told(process, lines):
+    process.look()
+    process.told["timingBounds"]["drainMs"] = 700
+    process.write()
+    process.reload.look(process.now + 0.1)
+    assert not process.applied
+    process.reload.look(process.now + 0.2, told=True)
+    assert len(process.applied) == 1
+
+
+def test_without_a_file_there_is_nothing_to_look_at(process, lines):
+    idle = Reload(process.reload.settings, None, process.applied.append)
+    idle.look(9.0, told=True)
+    assert process.applied == lines == []
+
+
+def test_a_program_names_the_addresses_and_the_disk_that_it_lacks(process):
+    settings = load(str(process.path))
+    require(settings, ("front", "readiness"))
+    with pytest.raises(SettingsError) as caught:
+        require(settings, ("front", "control", "directory"), disk=True)
+    assert [str(finding) for finding in caught.value.findings] == [
+        "listenAddresses.control: is missing", "listenAddresses.directory: is missing",
+        "dataDir: is missing"]
+
+
+def test_doctests():
+    assert doctest.testmod(reload).failed == 0
--- /dev/null
+++ b/tests/controlplane/test_control_program_start.py
@@ -0,0 +1,43 @@
+"""The control plane as a process: settings that are not sound, one that changes, and an end."""
+import asyncio
+import json
+import signal
+
+import programs
+
+
+def run(story):
+    asyncio.run(story)
+
+
+def test_settings_that_are_not_sound_end_it_with_2_and_a_line_a_finding(tmp_path):
+    async def story():
+        path = tmp_path / "local.yaml"
+        programs.write(path, programs.core(1, tmp_path, ipAddress="core-1", toleratedLosses={}))
+        status, out, lines = await programs.ended("controlplane", boot=path)
+        assert (status, out) == (2, "") and len(lines) == 2
+        assert {line.split(": ")[1] for line in lines} == {"ipAddress", "toleratedLosses.machines"}
+        programs.write(path, programs.core(1, tmp_path, dataDir=None))
+        assert await programs.ended("controlplane", "--settings", str(path)) == (2, "", [
+            "settings: dataDir: is missing"])
+    run(story())
+
+
+def test_a_bad_file_at_run_time_is_told_the_old_stays_and_the_end_writes_what_was_held_back(tmp_path):
+    async def story():
+        path, host = tmp_path / "local.yaml", f"{programs.NET}.1"
+        programs.write(path, programs.core(1, tmp_path / "data"))
+        (tmp_path / "data").mkdir()
+        async with programs.running("controlplane", path, 2, 3) as process:
+            status, body = await programs.http(host, 8262, target="/status")
+            assert status == 200 and json.loads(body)["node"] == "core-1"
+            assert (await programs.http(host, 8264, target="/resolution?region=north&zone=hall-1"))[0] == 503
+            programs.write(path, programs.core(1, tmp_path / "data", cloudApi={"ratePerS": 5}))
+            process.send_signal(signal.SIGHUP)
+            await programs.said(process, "the old settings stay in force: cloudApi.address")
+            programs.write(path, programs.core(1, tmp_path / "data", seedNodes=[f"{programs.NET}.7:8262"]))
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            left, status = await programs.rest(process)
+            assert status == 0 and "only a start changes seedNodes" in left
+    run(story())
--- /dev/null
+++ b/tests/controlplane/test_poller_retarget.py
@@ -0,0 +1,58 @@
+"""A poller whose platform moves, as settings that are read anew say."""
+import asyncio
+from dataclasses import replace
+from random import Random
+
+from test_platform_list import API, Platform, entry
+from virtual_loop import play
+
+from shedgrade.controlplane.platform import InstanceList, Poller
+
+OTHER = ("10.200.0.9", 8266)
+
+
+def moving(scene):
+    async def run(loop):
+        old, new = Platform(loop), Platform(loop)
+        loop.peers = {API.address: old.connect, OTHER: new.connect}
+        new.entries = [entry("z")]
+        held = InstanceList(loop.time)
+        poller = Poller(loop, API, held, lambda changed: None, random=Random(1))
+        poller.start(term=5)
+        await scene(old, new, held, poller)
+        poller.stop()
+        await asyncio.sleep(0.1)
+    play(run)
+
+
+def test_the_next_list_comes_from_the_new_address():
+    async def scene(old, new, held, poller):
+        await asyncio.sleep(1.0)
+        assert set(held.held) == {"a", "b", "c"}
+        calls = len(old.calls)
+        poller.retarget(replace(API, address=OTHER))
+        await asyncio.sleep(1.0)
+        assert set(held.held) == {"z"} and len(old.calls) == calls and poller.host == b"10.200.0.9:8266"
+    moving(scene)
+
+
+def test_a_call_under_way_at_the_old_one_is_given_up():
+    async def scene(old, new, held, poller):
+        old.silent = True
+        await asyncio.sleep(0.2)
+        assert old.calls and not held.held
+        poller.retarget(replace(API, address=OTHER))
+        await asyncio.sleep(0.5)
+        assert set(held.held) == {"z"}
+    moving(scene)
+
+
+def test_another_rate_keeps_the_connection_and_spaces_the_calls():
+    async def scene(old, new, held, poller):
+        await asyncio.sleep(1.0)
+        poller.retarget(replace(API, rate_per_s=0.5))
+        await asyncio.sleep(1.0)
+        before = len(old.calls)
+        await asyncio.sleep(25.0)
+        assert old.connections == 1 and 8 <= len(old.calls) - before <= 11
+    moving(scene)
--- /dev/null
+++ b/tests/dataplane/test_resettled.py
@@ -0,0 +1,61 @@
+"""What a data plane does with settings that are read anew."""
+import asyncio
+from types import SimpleNamespace
+
+from ingress_rig import BOUNDS, SETTINGS, Upstream, configuration, route, sidecar
+
+from shedgrade.configuration import Service
+
+
+async def idle(request, writer):
+    return False
+
+
+def changed(bounds=(), zones=SETTINGS.zones, lag=800):
+    return SimpleNamespace(zones=zones, region="east", bounds=BOUNDS | dict(bounds),
+                           cloud_api=SimpleNamespace(max_lag_ms=lag))
+
+
+def play(story):
+    async def whole():
+        upstreams = Upstream("i-1", idle), Upstream("i-2", idle)
+        async with sidecar(configuration(route()), *upstreams, zones={"i-2": "z3"}) as plane:
+            await story(plane.state, plane.state.services["lm"])
+    asyncio.run(whole())
+
+
+def test_the_budget_of_repeats_moves_with_the_bounds_and_later_services_get_it_too():
+    async def story(state, pool):
+        assert (pool.repeats.ratio, pool.repeats.slack, pool.repeats.window) == (0.2, 50.0, 100_000)
+        state.resettled(changed({"retryBudgetRatio": 0.5, "retrySlack": 4, "retryWindowS": 20}))
+        assert (pool.repeats.ratio, pool.repeats.slack, pool.repeats.window) == (0.5, 4, 200_000)
+        held = state.routes
+        held.services["late"] = Service("late")
+        state.configured(held)
+        assert state.services["late"].repeats.window == 200_000 and state.services["lm"] is pool
+    play(story)
+
+
+def test_a_new_zone_of_a_known_region_brings_its_upstreams_at_once():
+    async def story(state, pool):
+        assert pool.ready() == 1        # the other stands in a zone that nobody named
+        state.resettled(changed(zones=SETTINGS.zones | {"z3": "west"}))
+        assert pool.ready() == 2
+        state.resettled(changed())
+        assert pool.ready() == 1
+    play(story)
+
+
+def test_a_zone_of_a_new_region_waits_for_a_start():
+    async def story(state, pool):
+        state.resettled(changed(zones=SETTINGS.zones | {"z3": "north"}))
+        assert pool.ready() == 1 and state.zones == SETTINGS.zones and state.ready()
+    play(story)
+
+
+def test_before_any_configuration_there_is_only_what_is_kept_for_later():
+    async def story(state, pool):
+        state.routes = None
+        state.resettled(changed(lag=100))
+        assert state.routes is None and state.lag == 0.1
+    play(story)
