--- a/shedgrade/dataplane/state.py
+++ b/shedgrade/dataplane/state.py
@@ -10,8 +10,6 @@
 from shedgrade.log import logger
 from shedgrade.serving.repeats import Repeats
 
-RETURNED = 1.0          # s beyond the list's lag for which what the list says of a returned zone may be old
-
 
 class State:
     """`make_pool(name, repeats)` makes a service's pool. Applied whole or not at all."""
@@ -26,7 +24,8 @@
         self.services: dict[str, ServicePool] = {}
         self.instances: dict[str, Instance] = {}
         self.evacuated: frozenset[str] = frozenset()
-        self.returned: dict[str, float] = {}    # zones once evacuated, until the list is sure to know it
+        self.cold_until: dict[str, float] = {}  # by instance, on this process's clock
+        self.returned: dict[str, float] = {}    # zones once evacuated: when that was taken back
         self.fleet, self.sidecars = FleetSize(), 1
 
     def apply(self, updates: Iterable[object]) -> None:
@@ -53,9 +52,8 @@
             self.configured(Routes(parse(raw), self.regions))
         evacuated = frozenset(change.evacuations)
         if evacuated != self.evacuated:
-            until = self.now() + self.lag + RETURNED
             for zone in self.evacuated - evacuated:
-                self.returned[zone] = until
+                self.returned[zone] = self.now()
             self.evacuated = evacuated
             self.relist(self.services)
 
@@ -69,7 +67,8 @@
                 pool.counted(self.sidecars)
                 self.relist((name,))
             if before.get(name) != service:
-                pool.retuned(service.cold_start_s, service.cold_rate_s)
+                pool.retuned(service.cold_start_s, service.cold_rate_s, self.bounds["coldExcess"],
+                             self.bounds["coldSlack"])
         logger.info("configuration {} is in force, {} services", routes.version, len(routes.services))
 
     def moved(self, change: ListMoved) -> None:
@@ -79,21 +78,26 @@
         else:
             gone = [self.instances.pop(name, None) for name in change.removed]
             touched = {one.service for one in gone if one is not None}
+        now = self.now()
         for one in change.changed:
+            # What counts down is kept as a point in time: the list may be looked at again much later.
             self.instances[one.id] = one
+            self.cold_until[one.id] = now + one.cold_left_ms / 1000
             touched.add(one.service)
+        self.cold_until = {name: until for name, until in self.cold_until.items() if name in self.instances}
         self.relist(touched)
 
     def relist(self, names: Iterable[str]) -> None:
         now = self.now()
-        self.returned = {zone: until for zone, until in self.returned.items() if until > now}
-        by_service: dict[str, list[Instance]] = {}
+        by_service: dict[str, list[tuple[Instance, float]]] = {}
         for one in self.instances.values():
-            by_service.setdefault(one.service, []).append(one)
+            by_service.setdefault(one.service, []).append((one, self.cold_until[one.id] - now))
         for name in names:
             pool = self.services.get(name)
             if pool is not None:
-                pool.listed(by_service.get(name, ()), self.zones, self.evacuated, frozenset(self.returned))
+                returned = {zone: now - at for zone, at in self.returned.items()
+                            if zone not in self.evacuated}
+                pool.listed(by_service.get(name, ()), self.zones, self.evacuated, returned)
 
     def resettled(self, settings) -> None:
         """Settings were read anew: bounds, the list's lag, zones; one of a new region waits for a start."""
