A directory that is cut off sends clients on for what its side can't serve

Change: a member that hears neither the primary nor a majority for 0.8 s refuses look-ups of hosts with a route whose homes, or whose upstreams, are all elsewhere, so that clients ask the next directory.

--- a/shedgrade/controlplane/directory.py
+++ b/shedgrade/controlplane/directory.py
@@ -3,7 +3,7 @@
 Source: PROTOCOL, "Ingress". Clients draw one of the addresses for each new connection and skip those that
 failed them, so an answer has to hold an alternative where there is one.
 """
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from random import Random
 
 import msgspec
@@ -27,18 +27,23 @@
         self.calls = CallTree()
         self.calls.add(b"GET", b"/resolution", self.resolution)
 
-    def handle(self, request: Request, edges: Iterable[EdgeSeen]) -> Reply:
-        """`edges`: those heard lately that do not leave."""
+    def handle(self, request: Request, edges: Iterable[EdgeSeen],
+               stranded: Container[str] = frozenset()) -> Reply:
+        """`edges`: those heard lately that do not leave. `stranded`: hosts, in lower case, that these edges
+        can't serve while they are cut off."""
         match self.calls.find(request.method, request.path):
             case Match(call):
-                return call(request, edges)
+                return call(request, edges, stranded)
             case NotAllowed(allowed):
                 return failure(405, Finding("request", "this verb is none of the call's"),
                                headers=((b"Allow", b", ".join(allowed)),))
             case _:
                 return failure(404, Finding("request", "no such call"))
 
-    def resolution(self, request: Request, edges: Iterable[EdgeSeen]) -> Reply:
+    def resolution(self, request: Request, edges: Iterable[EdgeSeen], stranded: Container[str]) -> Reply:
+        if request.query.get("name", "").lower() in stranded:
+            # Guards against clients kept on the small side of a cut: after a failure they ask another.
+            return failure(503, Finding("name", "can't be served from here, as this region is cut off"))
         return self.resolve(request.query.get("region", ""), request.query.get("zone", ""), edges)
 
     def resolve(self, region: str, zone: str, edges: Iterable[EdgeSeen]) -> Reply:
--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -18,6 +18,7 @@
 from shedgrade.controlplane.ordering import Ordering
 from shedgrade.controlplane.orders import make_decide
 from shedgrade.controlplane.platform import InstanceList, Poller
+from shedgrade.controlplane.reach import Reach
 from shedgrade.controlplane.status import status
 from shedgrade.faults import fault
 from shedgrade.httpd import HttpServer
@@ -69,6 +70,7 @@
         self.duties = duty.Duties(own, self.member_addresses, random, now, duties=(LIST,),
                                   floor=int(time() * 10))
         self.hub = Hub(own, now, exchange=SPREAD)
+        self.reach = Reach(own, settings.region)
         self.gossip = Gossip(loop, Node(settings.node_name, settings.gossip_address, "core", settings.zone,
                                         random.getrandbits(48), own), settings.seed_gossips, random)
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
@@ -270,6 +272,8 @@
         channel, body = body[:1], body[1:]
         now = self.loop.time()
         try:
+            if channel != KNOWLEDGE:
+                self.reach.heard(now, sender)
             if channel == REPLICATION:
                 self.member.receive(now, sender, decode_replication(body))
             elif channel == DUTIES:
@@ -294,6 +298,7 @@
                 if self.hub.own_version != before:
                     self.spread_edges(now)
             case EdgesKnown():
+                self.reach.heard(now, sender)
                 self.hub.peers_edges(now, sender, message)
             case AskList(term, number):
                 answer(KNOWLEDGE + knowledge.encode(self.instances.answer(term, number, now)))
@@ -318,4 +323,13 @@
                       self.instances, self.duties)
 
     def resolve(self, request, tell) -> None:
-        tell(self.directory.handle(request, self.hub.edges(self.loop.time())))
+        now, stranded = self.loop.time(), frozenset()
+        if self.reach.cut_off(now, self.member_addresses(), self.hub.primary_at):
+            stranded = self.reach.stranded(self.hub.configuration, self.served_here())
+        tell(self.directory.handle(request, self.hub.edges(now), stranded))
+
+    def served_here(self) -> set[str]:
+        """Services with a ready upstream in the own region."""
+        zones, region = self.settings.zones, self.settings.region
+        return {one.service for one in self.instances.instances()
+                if one.state == "available" and zones.get(one.zone) == region}
