A shared record of which upstreams hold which prompts' parts

Edges tell the core what upstreams read, the core tells all; a long prompt kept in another region and not in the own goes there.

--- a/shedgrade/controlplane/delivery.py
+++ b/shedgrade/controlplane/delivery.py
@@ -23,6 +23,7 @@
     packed,
 )
 from shedgrade.log import logger
+from shedgrade.record.ledger import Ledger, Pair
 
 LONGEST_WAIT = 10.0     # s that an ask may be parked, whatever it says
 MOST_PARKED = 4096      # asks; beyond it they are answered at once
@@ -72,6 +73,8 @@
         self.seen: tuple[float, tuple[EdgeSeen, ...]] | None = None     # those listed, until one changes
         self.left: dict[str, tuple[int, float]] = {}    # by name: the life that leaves, and when it said so
         self.lost: dict[str, float] = {}                # by name: when its connection ended
+        self.ledger: Ledger | None = None               # the record of who holds which prompts, if kept
+        self.reads: list[Pair] = []                     # news of it that other members are to be told
 
     # --- what is known here
 
@@ -117,6 +120,8 @@
         same edge asks again before, or is `gone`."""
         self.now = now
         self.saw(Heard(ask.edge, now, ask.wait, True))
+        if self.ledger is not None and ask.reads:
+            self.reads += self.ledger.read(now, ask.reads)
         parked = Parked(ask, reply, now)
         self.parked.pop(ask.edge.name, None)
         if self.news(parked) or parked.until <= now or len(self.parked) >= MOST_PARKED:
@@ -174,7 +179,8 @@
         parked.reply(Told(
             control, upstreams, self.count(now), self.addresses,
             NEVER if lacks else max(0.0, now - self.primary_at),
-            NEVER if self.list is None else self.list.age_s(now), now - parked.at))
+            NEVER if self.list is None else self.list.age_s(now), now - parked.at,
+            None if self.ledger is None else self.ledger.since(*ask.record)))
 
     # --- the directory of edges
 
--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -19,6 +19,7 @@
 from shedgrade.controlplane.orders import make_decide
 from shedgrade.controlplane.platform import InstanceList, Poller
 from shedgrade.controlplane.reach import Reach
+from shedgrade.controlplane.recording import Recording
 from shedgrade.controlplane.status import status
 from shedgrade.faults import fault
 from shedgrade.httpd import HttpServer
@@ -28,6 +29,7 @@
 from shedgrade.log import logger
 from shedgrade.membership.messages import Node
 from shedgrade.membership.running import Gossip
+from shedgrade.record import AskRecord, RecordMoved, RecordRead
 from shedgrade.replication import Answer, Finished, Left, Member, Persist, Send, messages
 from shedgrade.storage import Store
 
@@ -71,6 +73,7 @@
                                   floor=int(time() * 10))
         self.hub = Hub(own, now, exchange=SPREAD)
         self.reach = Reach(own, settings.region)
+        self.recording = Recording(self.hub, random.getrandbits(40) + 1, founding, self.tell_knowledge)
         self.gossip = Gossip(loop, Node(settings.node_name, settings.gossip_address, "core", settings.zone,
                                         random.getrandbits(48), own), settings.seed_gossips, random)
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
@@ -121,7 +124,7 @@
         """Started anew: upstreams are known before a ballot on who polls them is over."""
         early = Poller(self.loop, self.settings.cloud_api, self.instances, self.polled, random=self.random)
         if await early.peek():
-            self.hub.instances(self.loop.time(), self.instances)
+            self.list_moved(self.loop.time())
 
     def leave(self) -> None:
         """SIGTERM: hands over what it holds, then ends."""
@@ -140,6 +143,7 @@
         elif member.primary is not None:
             self.hub.primary_heard(member.heard_at)
         self.hub.members(now, self.member_addresses())
+        self.recording.beat(now, self.hub.primary_at)
         if self.duties.held(LIST) and self.poller.failed >= AGED:
             self.duties.vacate(now, LIST)
         if now >= self.spread_at:
@@ -167,6 +171,9 @@
         """Link addresses of the members that the newest epoch names; before that, the seeds."""
         return tuple(peer.address for peer in self.member.members) or self.settings.seed_links
 
+    def tell_knowledge(self, message: object) -> None:
+        self.tell_others(KNOWLEDGE + knowledge.encode(message))
+
     def tell_others(self, body: bytes) -> None:
         for address in self.member_addresses():
             if address != self.own:
@@ -226,7 +233,7 @@
             self.timer.cancel()
             self.timer = None
         self.wake = at
-        if at != float("inf"):
+        if at != float("inf") and not self.left.is_set():
             self.timer = self.loop.call_at(max(at, self.loop.time() + 0.001), self.alarm)
 
     def alarm(self) -> None:
@@ -297,6 +304,8 @@
                 self.hub.ask(now, message, lambda told: answer(KNOWLEDGE + knowledge.encode(told)))
                 if self.hub.own_version != before:
                     self.spread_edges(now)
+            case RecordMoved() | RecordRead() | AskRecord():
+                self.recording.heard(now, message, lambda body: answer(KNOWLEDGE + body))
             case EdgesKnown():
                 self.reach.heard(now, sender)
                 self.hub.peers_edges(now, sender, message)
@@ -304,15 +313,19 @@
                 answer(KNOWLEDGE + knowledge.encode(self.instances.answer(term, number, now)))
             case ListMoved():
                 if self.instances.take(message, now):
-                    self.hub.instances(now, self.instances)
+                    self.list_moved(now)
                 elif self.instances.lacks:
                     answer(KNOWLEDGE + knowledge.encode(self.instances.question(now)))
 
+    def list_moved(self, now: float) -> None:
+        self.recording.listed(self.instances)
+        self.hub.instances(now, self.instances)
+
     def polled(self, changed: bool) -> None:
         """This process polls, and a whole list has come."""
         now = self.loop.time()
         if changed:
-            self.hub.instances(now, self.instances)
+            self.list_moved(now)
         self.tell_others(KNOWLEDGE + knowledge.encode(self.instances.answer(*self.listed, now)))
         self.listed = self.instances.version
 
--- /dev/null
+++ b/shedgrade/controlplane/recording.py
@@ -0,0 +1,52 @@
+"""The record of cached prompts at one core member: true again after a cut before anything is said of it."""
+from collections.abc import Callable
+from zlib import crc32
+
+from shedgrade import knowledge
+from shedgrade.controlplane.delivery import Hub
+from shedgrade.controlplane.platform import InstanceList
+from shedgrade.record import AskRecord, Ledger, RecordMoved, RecordRead
+
+LOST = 1.0          # s without the primary after which this member counts as cut off
+ASK = 0.5           # s between two questions to the others
+NOBODY = 3.0        # s in touch without an answer after which nobody has anything to tell
+
+
+class Recording:
+    """`tell_others(body)` reaches every other member; what comes back is handed to `heard`."""
+
+    def __init__(self, hub: Hub, source: int, founding: bool, tell_others: Callable[[object], None]) -> None:
+        self.hub, self.tell_others = hub, tell_others
+        self.ledger = hub.ledger = Ledger(source, founding)
+        self.asked_at, self.in_touch_at = 0.0, None
+
+    def beat(self, now: float, heard_at: float | None) -> None:
+        """`heard_at`: when this member last heard a primary, or was one."""
+        if heard_at is None or now - heard_at > LOST:
+            self.ledger.cut()
+            self.in_touch_at = None
+        elif not self.ledger.true:
+            self.in_touch_at = now if self.in_touch_at is None else self.in_touch_at
+            if now - self.in_touch_at > NOBODY:
+                self.ledger.nobody()
+            elif now - self.asked_at >= ASK:
+                self.asked_at = now
+                self.tell_others(AskRecord())
+        if self.hub.reads:
+            pairs, self.hub.reads = tuple(self.hub.reads), []
+            self.tell_others(RecordRead(pairs))
+
+    def heard(self, now: float, message: object, answer: Callable[[bytes], None]) -> None:
+        match message:
+            case RecordRead(pairs):
+                self.ledger.read(now, pairs)
+            case RecordMoved():
+                self.ledger.take(now, message)
+            case AskRecord():
+                moved = self.ledger.since(0, -1)
+                if moved is not None:
+                    answer(knowledge.encode(moved))
+
+    def listed(self, instances: InstanceList) -> None:
+        """The platform's list moved: an incarnation that is gone holds nothing."""
+        self.ledger.listed({crc32(name.encode()) for name in instances.held})
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -9,7 +9,7 @@
 from shedgrade import knowledge
 from shedgrade.boot import Reload, Settings, Watched
 from shedgrade.clock import Clock
-from shedgrade.dataplane.asking import Asker, AskTo
+from shedgrade.dataplane.asking import OLD_WORD, Asker, AskTo
 from shedgrade.dataplane.front import IngressFront
 from shedgrade.dataplane.ingress import IngressConnection
 from shedgrade.dataplane.service import ServicePool
@@ -24,6 +24,7 @@
 from shedgrade.membership.messages import Node
 from shedgrade.membership.running import Gossip
 from shedgrade.memory.budget import Budget
+from shedgrade.record import Record
 from shedgrade.serving.repeats import Repeats
 from shedgrade.wire.application import Listener
 
@@ -50,7 +51,9 @@
         self.reload = Reload(settings, watched, self.resettled)
         self.clock = Clock()
         self.budget = Budget(max(256, settings.limits.file_descriptors - RESERVED), settings.limits.memory_mb)
+        self.record = Record()
         self.state = State(settings, loop.time, self.make_pool)
+        self.state.record = self.record
         self.front = IngressFront(loop, self, self.budget, random)
         self.life = random.getrandbits(48)
         self.links = Links(loop, settings.link_address, lambda sender, frame: None, settings.ip_address)
@@ -89,7 +92,7 @@
     def make_pool(self, name: str, repeats: Repeats) -> ServicePool:
         settings = self.settings
         return ServicePool(name, self.state.regions, settings.region, self.random.getrandbits(32), self.loop,
-                           self.clock, self.budget, repeats, settings.node_name)
+                           self.clock, self.budget, repeats, settings.node_name, self.record)
 
     # --- from start to end
 
@@ -223,14 +226,22 @@
         self.ask()
 
     async def call(self, effect: AskTo) -> None:
+        reads, beside = (), effect.ask.wait <= 0
         try:
-            asked = KNOWLEDGE + knowledge.encode(effect.ask)
+            ask = effect.ask
+            if not beside:      # the record's numbers are one member's: another asked beside it tells none
+                reads = self.record.outgoing()
+                ask = msgspec.structs.replace(ask, reads=reads, record=self.record.version)
+            asked = KNOWLEDGE + knowledge.encode(ask)
             body = await self.links.call(effect.address, asked, effect.timeout)
             told = knowledge.decode(body[1:])
         except (LinkError, msgspec.MsgspecError, ValueError):
             told = None
         if isinstance(told, Told):
+            if not beside:
+                self.record.told(self.loop.time(), told.fresh_s < OLD_WORD, told.record)
             self.asker.answered(self.loop.time(), effect.address, told, effect.number)
         else:
+            self.record.lost(reads)
             self.asker.failed(self.loop.time(), effect.address, effect.number)
         self.ask()
--- a/shedgrade/dataplane/service.py
+++ b/shedgrade/dataplane/service.py
@@ -7,6 +7,7 @@
 from shedgrade.knowledge import Instance
 from shedgrade.log import logger
 from shedgrade.memory.upstreams import Addresses, Indices
+from shedgrade.record import Record
 from shedgrade.serving.balancer import ServingBalancer
 from shedgrade.serving.repeats import Repeats
 from shedgrade.turn import Turn
@@ -15,15 +16,31 @@
 AGAIN = 10_000          # tenths of a ms before one that was reached is tried again
 
 
+class Kept:
+    """The record as the decisions look at it: by the loop's time, which they don't know."""
+
+    def __init__(self, record: Record, loop) -> None:
+        self.record, self.loop = record, loop
+
+    def holders(self, key: int) -> Mapping[int, float]:
+        return self.record.holders(self.loop.time(), key)
+
+    def saw(self, key: int, mark: int) -> None:
+        self.record.saw(self.loop.time(), key, mark)
+
+
 class ServicePool:
     """Shares clock and budget with the other services of this sidecar."""
 
     def __init__(self, name: str, regions: dict[str, int], own: str, seed: int, loop, clock, budget,
-                 repeats: Repeats, me: str) -> None:
-        """`regions`: numbers by name; `own`: the name of this sidecar's; `me`: its name."""
+                 repeats: Repeats, me: str, record: Record | None = None) -> None:
+        """`regions`: numbers by name; `own`: the name of this sidecar's; `me`: its name;
+        `record`: of who holds which prompts' parts."""
         self.name, self.regions, self.clock, self.loop = name, regions, clock, loop
         self.indices, self.addresses = Indices(), Addresses()
         self.balancer = ServingBalancer(list(regions), regions[own], seed, clock.now(), repeats, me)
+        if record is not None:
+            self.balancer.record = Kept(record, loop)
         self.repeats, self.cold_s = repeats, 0.0
         self.states: dict[int, int] = {}
         self.trying: dict[int, int] = {}    # by upstream: when it was last tried whether it can be reached
--- a/shedgrade/dataplane/state.py
+++ b/shedgrade/dataplane/state.py
@@ -1,6 +1,7 @@
 """What this sidecar knows: routes in force, services, upstreams, evacuated zones. Told by the control
 plane."""
 from collections.abc import Callable, Iterable
+from zlib import crc32
 
 from shedgrade.configuration import parse
 from shedgrade.dataplane.fleet import FleetSize
@@ -20,6 +21,7 @@
         self.regions = {name: number for number, name in enumerate(sorted(set(settings.zones.values())))}
         self.bounds, self.lag = settings.bounds, settings.cloud_api.max_lag_ms / 1000
         self.now, self.make_pool = now, make_pool
+        self.record = None          # of who holds which prompts' parts, if it is kept
         self.routes: Routes | None = None
         self.services: dict[str, ServicePool] = {}
         self.instances: dict[str, Instance] = {}
@@ -85,6 +87,8 @@
             self.cold_until[one.id] = now + one.cold_left_ms / 1000
             touched.add(one.service)
         self.cold_until = {name: until for name, until in self.cold_until.items() if name in self.instances}
+        if self.record is not None:
+            self.record.listed({crc32(name.encode()) for name in self.instances})
         self.relist(touched)
 
     def relist(self, names: Iterable[str]) -> None:
--- a/shedgrade/knowledge.py
+++ b/shedgrade/knowledge.py
@@ -5,6 +5,8 @@
 """
 import msgspec
 
+from shedgrade.record.ledger import AskRecord, Pair, RecordMoved, RecordRead
+
 COMPRESSED_OVER = 8 * 1024      # bytes of a configuration beyond which it travels compressed
 LONGEST_CONFIGURATION = 16 * 1024 * 1024    # bytes, plain
 
@@ -106,7 +108,9 @@
 
 class Ask(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
     """An edge asks for what is newer than it holds: control state (epoch, sequence) with the configuration
-    `version`, the list (term, number) known `age_s` ago. The answer may wait `wait` s if nothing is."""
+    `version`, the list (term, number) known `age_s` ago. The answer may wait `wait` s if nothing is. `reads`:
+    what it saw upstreams read since its last ask; `record`: (source, number) of the record that it holds,
+    (0, -1): nothing, (-1, -1): it is not to be told."""
 
     edge: EdgeState
     control: tuple[int, int]
@@ -114,6 +118,8 @@
     wait: float
     version: int = -1
     age_s: float = NEVER
+    reads: tuple[Pair, ...] = ()
+    record: tuple[int, int] = (-1, -1)
 
 
 class ControlChange(msgspec.Struct, array_like=True, frozen=True):
@@ -131,7 +137,8 @@
 class Told(msgspec.Struct, array_like=True, frozen=True, tag="told"):
     """The answer. `edges`: how many edges are known alive; `members`: link addresses of core members;
     `upstreams`: what is newer, or that what the asker holds is still it, or None if neither is known;
-    `fresh_s`: since this member heard the primary; `age_s`: of its list; `held_s`: the ask waited so long."""
+    `fresh_s`: since this member heard the primary; `age_s`: of its list; `held_s`: the ask waited so long.
+    `record`: what was read since, None if nothing was or this member's record is not true."""
 
     control: ControlChange | None
     upstreams: ListMoved | None
@@ -140,6 +147,7 @@
     fresh_s: float
     age_s: float
     held_s: float = 0.0
+    record: RecordMoved | None = None
 
 
 class Counts(msgspec.Struct, frozen=True):
@@ -149,7 +157,7 @@
     members: tuple[str, ...]
 
 
-Message = Ask | Told | EdgesKnown | ListMoved | AskList
+Message = Ask | Told | EdgesKnown | ListMoved | AskList | RecordMoved | RecordRead | AskRecord
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode    # msgspec.DecodeError for anything else
 
--- /dev/null
+++ b/shedgrade/record/__init__.py
@@ -0,0 +1,10 @@
+"""The shared record of which upstreams hold which prompts' parts: what edges saw read, spread by the core.
+
+Sans I/O. It is a guess that is only trusted while its source is fresh: an upstream lets go of parts that were
+unused for long, and a new incarnation holds nothing. Whoever was cut off believes nothing of it until it was
+told all of it anew.
+"""
+from shedgrade.record.edge import Record
+from shedgrade.record.ledger import AskRecord, Ledger, RecordMoved, RecordRead, key_of
+
+__all__ = ["AskRecord", "Ledger", "Record", "RecordMoved", "RecordRead", "key_of"]
--- a/shedgrade/serving/balancer.py
+++ b/shedgrade/serving/balancer.py
@@ -1,4 +1,5 @@
 """The decisions of one sidecar for one service of the system."""
+from collections.abc import Mapping
 from math import inf
 
 from shedgrade.decide.balancer import Balancer
@@ -11,6 +12,9 @@
 from shedgrade.serving.request import ServingRpc, Wants
 
 MARGIN = 1.0        # in flight over the region's mean up to which the holder of a prompt is taken
+FAR = 2048          # tokens of shared parts: reading so many anew takes as long as the way to another region
+UNIT = 2048         # tokens of a prompt that weigh as much as a request in flight while they are read
+HEAVIEST = 16       # requests in flight that one prompt may weigh
 MOST = 6            # transmissions of one try, those included that never arrived
 BACK = 0.25, 0.75   # s after which a client is told to come back: spread, so that they don't come together
 
@@ -29,6 +33,16 @@
             "rules": {"cold": 0, "cold_from": 1.0, "fall_multiple": 1.0, "ask_every": 10_000.0}}
 
 
+class NoRecord:
+    """Where no record is kept: nothing is held anywhere."""
+
+    def holders(self, key: int) -> Mapping[int, float]:
+        return {}
+
+    def saw(self, key: int, mark: int) -> None:
+        """Nobody is told."""
+
+
 class ServingBalancer(ColdShares, Balancer):
     """`decide.Balancer` for streams of a model: no windows and no times foreseen, as an upstream's batch
     takes what comes; places are kept until a stream ends."""
@@ -39,6 +53,7 @@
                  name: str = "") -> None:
         self.cold_until: dict[int, int] = {}    # by upstream, as the list tells
         self.prefixes, self.repeats, self.name = Prefixes(), repeats, name
+        self.record = NoRecord()
         super().__init__(settings(regions, own), seed, now)
         for number, zone in enumerate(self.zones):
             zone.number = number
@@ -52,7 +67,35 @@
     def choose(self, now: int, rpc: ServingRpc, stay: bool) -> Upstream | None:
         """Guards against a refusal while something could be tried: what returns first, one request at a
         time."""
-        return super().choose(now, rpc, stay) or self.last_resort(now, rpc)
+        return self.kept_elsewhere(now, rpc) or super().choose(now, rpc, stay) or self.last_resort(now, rpc)
+
+    def kept_elsewhere(self, now: int, rpc: ServingRpc) -> Upstream | None:
+        """The own region gives way to one upstream of another: the one on record as holding a long prompt's
+        shared parts, which the own region would read anew. It must be of a region that the gate lets stay,
+        and not be well above that region's mean."""
+        wants: Wants = rpc.tag.wants
+        if wants.shared < FAR or rpc.tries:
+            return None
+        held = self.record.holders(wants.kept_as)
+        if not held:
+            return None
+        own, best = self.zones[self.own], None
+        if rpc.reaches(own) and any(up.mark in held for up in own.ring):
+            return None
+        for zone in self.zones:
+            if zone is own or not rpc.reaches(zone) or zone.flight / len(zone.ring) >= self.threshold:
+                continue
+            bar = (zone.flight + zone.held) / len(zone.ring) + MARGIN
+            for up in zone.ring:
+                if up.mark in held and up.flight + up.held <= bar and rpc.allowed(up, now) and self.room(
+                        up, now, 0, 1.0) and (best is None or up.flight + up.held < best.flight + best.held):
+                    best = up
+        return best and self.chosen(best, now)
+
+    def unread(self, up: Upstream, wants: Wants) -> int:
+        """What reading its prompt there weighs, beside its place in flight, until its first event."""
+        kept = wants.shared if wants.key and up.mark in self.record.holders(wants.kept_as) else 0
+        return max(0, min(HEAVIEST, (wants.tokens - kept) // UNIT))
 
     def room(self, up: Upstream, now: int, left: int, expected: float) -> bool:
         return not (up.trial and up.flight) and (not self.is_cold(up, now) or self.cold_room(up, now))
@@ -68,7 +111,9 @@
         wants: Wants = rpc.tag.wants
         if wants.key and len(zone.ring) > 1:
             bar = (zone.flight + zone.held) / len(zone.ring) + MARGIN
-            for up in self.prefixes.holders(zone, wants.key):
+            held = self.record.holders(wants.kept_as)
+            known = [up for up in zone.ring if up.mark in held] if held else ()
+            for up in (*known, *self.prefixes.holders(zone, wants.key)):
                 if up.flight + up.held <= bar and up not in rpc.tries and rpc.allowed(up, now) and self.room(
                         up, now, left, 1.0):
                     return self.chosen(up, now)
--- a/shedgrade/serving/prefix.py
+++ b/shedgrade/serving/prefix.py
@@ -11,8 +11,6 @@
 from shedgrade.decide.zones import Zone
 
 HOLDERS = 2         # upstreams of a region that are taken to hold the parts: the second serves the rest
-UNIT = 2048         # tokens of a prompt that weigh as much as a request in flight while they are read
-HEAVIEST = 16
 KEYS = 4096         # keys whose order is remembered
 
 
@@ -21,24 +19,10 @@
 
 
 class Prefixes:
-    """Orders upstreams by key; an order holds until the region's rotation changes. Remembers what this
-    sidecar has seen an upstream read: a guess, as the upstream lets go of what is unused for longest."""
+    """Orders upstreams by key; an order holds until the region's rotation changes."""
 
     def __init__(self) -> None:
         self.orders: dict[tuple[int, bytes], tuple[Upstream, ...]] = {}
-        self.seen: dict[tuple[int, bytes], None] = {}       # (mark, key), the one seen longest ago first
-
-    def reading(self, up: Upstream, wants) -> int:
-        """What reading its prompt there weighs, beside its place in flight, until its first event."""
-        unread = wants.tokens - (wants.shared if (up.mark, wants.key) in self.seen else 0)
-        return max(0, min(HEAVIEST, unread // UNIT))
-
-    def has_read(self, up: Upstream, wants) -> None:
-        if wants.key:
-            self.seen.pop((up.mark, wants.key), None)
-            self.seen[up.mark, wants.key] = None
-            if len(self.seen) > KEYS:
-                del self.seen[next(iter(self.seen))]
 
     def moved(self) -> None:
         self.orders.clear()
--- a/shedgrade/serving/request.py
+++ b/shedgrade/serving/request.py
@@ -3,6 +3,7 @@
 from shedgrade.decide.rpc import Rpc
 from shedgrade.decide.upstream import Upstream
 from shedgrade.decide.zones import Zone
+from shedgrade.record import key_of
 
 IDEMPOTENT, ONCE = range(2)     # the two methods: may run more than once, or at most once a try
 ARRIVED_NOT = (UNSENT, UNCONNECTED)     # outcomes after which the upstream has seen nothing of the request
@@ -16,13 +17,14 @@
     `target`: tenths of a ms within which it earns its full worth. `avoid`: upstreams, by index, that earlier
     legs of the same stream ran on. `before`: to how many they went.
     """
-    __slots__ = ("homes", "key", "most", "target", "avoid", "before", "tokens", "shared")
+    __slots__ = ("homes", "key", "most", "target", "avoid", "before", "tokens", "shared", "kept_as")
 
     def __init__(self, homes: frozenset[int] | None = None, key: bytes = b"", most: int = 1,
                  target: int = 10_000, avoid: frozenset[int] = frozenset(), before: int = 0,
                  tokens: int = 0, shared: int = 0) -> None:
         self.homes, self.key, self.most, self.target = homes, key, most, target
         self.avoid, self.before, self.tokens, self.shared = avoid, before, tokens, shared
+        self.kept_as = key_of(key) if key else 0    # as the record names the parts
 
 
 class ServingRpc(Rpc):
@@ -66,7 +68,7 @@
         home = self.home
         home.repeats.sent(now, repeat)
         self.arrived += 1
-        self.reading = home.prefixes.reading(up, self.tag.wants)
+        self.reading = home.unread(up, self.tag.wants)
         home.count_in(up, 1, self.reading)
         self.out[len(self.tries)] = max(1, up.flight)
         up.used = now
@@ -97,4 +99,5 @@
         self.again_at = None
         for tx in self.out:
             self.read(tx)
-            self.home.prefixes.has_read(self.tries[tx], self.tag.wants)
+            if self.tag.wants.key:
+                self.home.record.saw(self.tag.wants.kept_as, self.tries[tx].mark)
--- a/tests/serving/test_serving_choice.py
+++ b/tests/serving/test_serving_choice.py
@@ -4,6 +4,7 @@
 import pytest
 
 from shedgrade.decide import outcomes
+from shedgrade.record import key_of
 from shedgrade.serving import IDEMPOTENT, ONCE, ServingBalancer, Wants
 from shedgrade.serving.repeats import Repeats
 
@@ -150,8 +151,19 @@
     assert (made.ups[reads].held, made.ups[reads].flight) == (0, 0)
 
 
+class Kept(dict):
+    """A record: marks by key."""
+
+    def holders(self, key):
+        return self.get(key, {})
+
+    def saw(self, key, mark):
+        self.setdefault(key, {})[mark] = 0.0
+
+
 def test_what_was_read_there_weighs_no_more():
     made = balancer(ups=((0, 0), (1, 0)))
+    made.record = Kept()
     rpc, (reads, _) = take(made, key=b"aa:6000", tokens=8000, shared=6000)
     assert made.ups[reads].held == 3
     rpc.started(True)
@@ -165,3 +177,27 @@
     rpc, (reads, _) = take(made, method=ONCE, tokens=50_000)
     rpc.ended(900, 0, outcomes.UNCONNECTED, 10, True)
     assert all((up.held, up.flight) == (0, 0) for up in made.ups.values())
+
+
+def test_a_long_prompt_goes_where_it_is_kept_if_the_own_region_would_read_it_anew():
+    made = balancer()
+    made.record = Kept({key_of(b"aa:6000"): {1003: 0.0}})
+    assert {take(made, key=b"aa:6000", tokens=8000, shared=6000)[1][0] for _ in range(2)} == {3}
+    assert take(made, key=b"bb:6000", tokens=8000, shared=6000)[1][0] in (0, 1)
+    made.record.saw(key_of(b"aa:6000"), 1000)
+    assert take(made, now=1, key=b"aa:6000", tokens=8000, shared=6000)[1][0] in (0, 1)
+
+
+def test_a_short_prompt_stays_in_the_own_region():
+    made = balancer()
+    made.record = Kept({key_of(b"aa:300"): {1003: 0.0}})
+    assert take(made, key=b"aa:300", tokens=800, shared=300)[1][0] in (0, 1)
+
+
+def test_homes_and_the_gate_bind_what_is_kept_elsewhere():
+    made = balancer()
+    made.record = Kept({key_of(b"aa:6000"): {1003: 0.0}})
+    wants = {"key": b"aa:6000", "tokens": 8000, "shared": 6000}
+    assert take(made, homes=frozenset({0}), **wants)[1][0] in (0, 1)
+    made.zones[1].flight = 4
+    assert take(made, **wants)[1][0] in (0, 1)
