--- a/shedgrade/controlplane/configuration.py
+++ b/shedgrade/controlplane/configuration.py
@@ -154,21 +154,16 @@
     def __init__(self, findings: Findings, services: Container[str]) -> None:
         """`services`: the names of all services, also of those in which something else is wrong."""
         self.findings, self.services = findings, services
-        self.names: dict[tuple[str, str], str] = {}     # kind of element and its name: where it was met
+        self.names: dict[str, str] = {}     # of services: where each was met
         self.prefixes: dict[tuple[str, str], str] = {}  # host and prefix: where it was met
 
-    def unique(self, kind: str, name: str, place: str) -> None:
-        first = self.names.setdefault((kind, name), place)
-        if first != place:
-            self.findings.add(f"{place}.name", f"{name!r} is also the name of {first}")
-
     def service(self, service: Service, place: str) -> None:
-        self.unique("service", service.name, place)
+        first = self.names.setdefault(service.name, place)
+        if first != place:
+            self.findings.add(f"{place}.name", f"{service.name!r} is also the name of {first}")
 
     def route(self, route: Route, place: str) -> None:
         add = self.findings.add
-        if route.name:
-            self.unique("route", route.name, place)
         prefix = route.path_prefix
         if not (prefix.startswith("/") and prefix.endswith("/")):
             add(f"{place}.pathPrefix", "does not begin and end with a slash")
