A load settles what it tells: confirmed in place, then folded into the other slot

A sync that failed leaves bytes that the kernel still gives, and a power loss takes them; a process started in between read them as durable, and the next write went over the slot that was left. The slot in use is now written once more byte for byte before the other one is touched; four syncs a start.

--- a/shedgrade/storage/store.py
+++ b/shedgrade/storage/store.py
@@ -34,31 +34,61 @@
 
     def __init__(self, folder: str | Path, files=None) -> None:
         self.files = Files(folder) if files is None else files
-        self.loaded = self.newer = self.named = self.appending = False
+        self.loaded = self.newer = self.confirmed = self.named = self.appending = False
         self.values: dict[str, bytes] = {}
         self.used, self.sequence, self.base = "b", 0, 0
         self.slot_size = self.log_size = self.records = 0
 
     def load(self) -> Found:
-        """What the last writes left. What it gives is durable: it is synced before it is told.
+        """What the last writes left, durable before it is told.
 
-        OSError: the disk cannot be read, or not be synced; nothing is known, to be tried again.
+        OSError: the disk cannot be read, or takes neither a write nor a sync; nothing is known, to be tried
+        again.
         """
         self.loaded = self.named = self.appending = False
         self.files.close()
         found = recover(self.files)
-        if found.state is State.SOUND:
-            # Guards against a process that was killed before its sync: what it wrote is read all the same.
-            for name in (f"slot-{found.used}", f"log-{found.used}"):
-                if name in found.sizes:
-                    self.files.sync(name)
-            self.files.sync_folder()
-            self.named = len(found.sizes) == len(NAMES)
         self.values, self.sequence, self.newer = dict(found.values), found.highest, found.newer
-        self.used = found.used or "b"
+        self.used, self.confirmed = found.used or "b", found.state is not State.SOUND
+        if not self.confirmed:
+            try:
+                self.settle()
+            except OSError:
+                # A full disk still tells what it holds; what failed to sync before is in doubt until a write.
+                self.sync_used()
         self.loaded = True
         return Found(found.state, found.values, tuple(found.findings))
 
+    def settle(self) -> None:
+        """The state that was read is the one that stays: confirmed, then folded into the other slot, where a
+        write that failed may have left another.
+        """
+        self.confirm()
+        self.sequence += 1
+        self.fold(self.values)
+        self.appending = True
+
+    def confirm(self) -> None:
+        """Writes the slot in use and its log once more, byte for byte, each in its own place.
+
+        Guards against a process that ended before its sync, or whose sync failed: the kernel gives what it
+        wrote all the same, takes it for synced, and a power loss leaves the other slot. That one must not be
+        touched before this one is sure. A power loss on the way changes nothing, as the bytes are the same.
+        """
+        for name in self.names_used():
+            self.files.write(name, 0, self.files.read(name))
+        self.sync_used()
+        self.confirmed = True
+
+    def sync_used(self) -> None:
+        for name in self.names_used():
+            self.files.sync(name)
+        self.files.sync_folder()
+        self.named = set(NAMES).issubset(self.files.names())
+
+    def names_used(self) -> list[str]:
+        return [name for name in (f"slot-{self.used}", f"log-{self.used}") if name in self.files.names()]
+
     def write(self, changes: Mapping[str, bytes | None]) -> None:
         """Durable when it returns, all or nothing; None removes a key.
 
@@ -71,14 +101,16 @@
         if self.newer:
             # Guards against a downgrade that takes away the state of all members at once.
             raise OSError(errno.EPERM, "the folder was written by a later version")
+        if not self.confirmed:
+            self.confirm()
         group = {key: plain(key, value) for key, value in changes.items()}
         values = dict(self.values)
         layout.apply(values, group)
         if sum(4 * len(key) + len(value) + 16 for key, value in values.items()) > layout.LARGEST:
             raise OSError(errno.EFBIG, os.strerror(errno.EFBIG))
-        # Guards against a number given twice: one whose write failed may be on disk all the same.
+        # Guards against two writes of one number: one that failed may be on disk all the same.
         self.sequence += 1
-        # Guards against a torn tail: after a failure or a load the log is left, the other slot is written.
+        # Guards against a torn tail: after a failure the log is left alone and the other slot is written.
         appending, self.appending = self.appending, False
         if not (appending and self.append(group)):
             self.fold(values)
--- /dev/null
+++ b/tests/storage/test_simulated_disk.py
@@ -0,0 +1,117 @@
+"""The simulated disk keeps what was synced, and loses the rest in every way there is."""
+import errno
+from random import Random
+
+import pytest
+
+from shedgrade.simulation.disk import SECTOR, SimulatedDisk
+
+
+def after_loss(prepare, name, seeds=300):
+    """What power losses leave of one file; None where its name is gone."""
+    found = set()
+    for seed in range(seeds):
+        disk = SimulatedDisk(Random(seed))
+        files = disk.files
+        prepare(files)
+        disk.power_loss(Random(seed))
+        contents = disk.contents()
+        assert disk.files.names() == sorted(contents)
+        found.add(contents.get(name))
+    return found
+
+
+def test_what_was_synced_with_its_name_stays():
+    def prepare(files):
+        files.write("x", 0, b"abc")
+        files.sync("x")
+        files.sync_folder()
+    assert after_loss(prepare, "x") == {b"abc"}
+
+
+@pytest.mark.parametrize("synced", ["file", "folder", "none"])
+def test_a_new_name_without_its_sync_or_that_of_the_folder_may_be_gone(synced):
+    def prepare(files):
+        files.write("x", 0, b"abc")
+        if synced == "file":
+            files.sync("x")
+        elif synced == "folder":
+            files.sync_folder()
+    found = after_loss(prepare, "x")
+    assert None in found and b"abc" in found
+    assert (found == {None, b"abc"}) == (synced == "file")
+
+
+def test_a_write_that_was_not_synced_is_there_missing_or_torn_whatever_became_of_the_next():
+    def prepare(files):
+        files.write("x", 0, b"0000")
+        files.sync("x")
+        files.sync_folder()
+        files.write("x", 0, b"1")
+        files.write("x", 3, b"2")
+        files.truncate("x", 2)
+    whole = {b"0000", b"1000", b"0002", b"1002"}
+    assert after_loss(prepare, "x") == whole | {content[:2] for content in whole}
+
+
+def test_a_torn_write_loses_sectors_or_its_end():
+    def prepare(files):
+        files.write("x", 0, bytes(2 * SECTOR))
+        files.sync("x")
+        files.sync_folder()
+        files.write("x", 0, b"1" * 2 * SECTOR)
+    found = after_loss(prepare, "x")
+    assert {bytes(2 * SECTOR), b"1" * 2 * SECTOR, bytes(SECTOR) + b"1" * SECTOR} <= found
+    assert any(content.rstrip(b"\0") not in (b"", b"1" * SECTOR, b"1" * 2 * SECTOR) for content in found)
+
+
+def test_a_full_disk_refuses_each_write_and_keeps_what_it_has():
+    disk = SimulatedDisk(Random(1))
+    files = disk.files
+    files.write("x", 0, b"abc")
+    disk.full = True
+    for refused in (lambda: files.write("x", 0, b"z"), lambda: files.truncate("x", 0)):
+        with pytest.raises(OSError) as error:
+            refused()
+        assert error.value.errno == errno.ENOSPC
+    files.sync("x")
+    files.sync_folder()
+    disk.power_loss(Random(1))
+    assert disk.contents() == {"x": b"abc"}
+
+
+def test_a_sync_that_failed_is_not_made_good_by_the_next():
+    found = set()
+    for seed in range(100):
+        disk = SimulatedDisk(Random(seed))
+        files = disk.files
+        files.write("x", 0, b"0000")
+        files.sync("x")
+        files.sync_folder()
+        files.write("x", 0, b"1")
+
+        def trouble(operation, name):
+            raise OSError(errno.EIO, "sync")
+        disk.trouble = trouble
+        with pytest.raises(OSError):
+            files.sync("x")
+        disk.trouble = None
+        assert files.read("x") == b"1000"
+        files.write("x", 3, b"2")
+        files.sync("x")
+        disk.power_loss(Random(seed))
+        found.add(disk.contents()["x"])
+    assert found == {b"0002", b"1002"}
+
+
+def test_a_process_from_before_the_loss_of_power_has_no_disk():
+    for end in (lambda disk: disk.power_loss(Random(1)), SimulatedDisk.wipe):
+        disk = SimulatedDisk(Random(1))
+        files = disk.files
+        files.write("x", 0, b"abc")
+        files.sync("x")
+        end(disk)
+        for call in ((files.names,), (files.read, "x"), (files.write, "x", 0, b"z"), (files.sync_folder,)):
+            with pytest.raises(OSError):
+                call[0](*call[1:])
+    assert disk.files.names() == []
--- a/tests/storage/test_slots.py
+++ b/tests/storage/test_slots.py
@@ -1,4 +1,5 @@
 """Any order of writes, failures, ends and losses of power: what is loaded is what was last promised."""
+import contextlib
 import errno
 from random import Random
 
@@ -6,7 +7,7 @@
 from hypothesis import strategies as st
 
 from shedgrade.simulation.disk import SimulatedDisk
-from shedgrade.storage import State, Store, store
+from shedgrade.storage import State, Store, layout, store
 
 KEYS = st.sampled_from(["configuration", "version", "evacuations", "epoch"])
 LONG = st.integers(0, 3000).map(lambda size: bytes([size % 251]) * size)
@@ -17,7 +18,8 @@
     st.tuples(st.just("write"), GROUPS),
     st.tuples(st.sampled_from(["refused", "killed", "power"]), GROUPS, st.integers(0, 9)),
     st.tuples(st.just("full"), GROUPS),
-    st.tuples(st.sampled_from(["restart", "power loss", "wipe"])),
+    st.tuples(st.just("cut start"), st.booleans(), st.integers(0, 5)),
+    st.tuples(st.sampled_from(["restart", "restart full", "power loss", "wipe"])),
 )
 
 
@@ -29,7 +31,7 @@
     """A store on a simulated disk, beside what it may hold.
 
     `base`: what the store goes on from. `possible`: what a loss of power may leave. `doubted`: a sync
-    failed, so that what is read before the next write may yet be lost with the power.
+    failed and the disk was full at the load: what is read may yet be lost with the power.
     """
 
     def __init__(self, seed):
@@ -47,10 +49,9 @@
             assert found.values == {}
         assert found.values in self.possible, (found, self.possible)
         self.base = found.values
-        if found.state is State.SOUND:
-            self.written = True
-        if not self.doubted:
-            self.possible = [self.base]
+        self.doubted &= not self.store.appending        # what a load has written anew is sure
+        if found.state is State.SOUND and not self.doubted:
+            self.possible, self.written = [self.base], True
 
     def after(self, group):
         values = {**self.base, **group}
@@ -96,6 +97,23 @@
         self.troubled(EndError(), group, calls)
         self.power_loss()
 
+    def cut_start(self, power, calls):
+        """The process ends as it loads, or the power is lost."""
+        left = [calls]
+
+        def trouble(operation, name):
+            left[0] -= 1
+            if left[0] < 0:
+                raise EndError
+        self.disk.trouble = trouble
+        with contextlib.suppress(EndError):
+            self.start()
+        self.disk.trouble = None
+        if power:
+            self.power_loss()
+        else:
+            self.start()
+
     def power_loss(self):
         self.disk.power_loss(self.random)
         self.doubted = False
@@ -104,6 +122,11 @@
     def restart(self):
         self.start()
 
+    def restart_full(self):
+        self.disk.full = True
+        self.start()
+        self.disk.full = False
+
     def wipe(self):
         self.disk.wipe()
         self.written, self.possible, self.doubted = False, [{}], False
@@ -163,6 +186,20 @@
     assert each_cut(4, groups) == {(("a", groups[1]["a"]),), tuple(sorted(groups[2].items()))}
 
 
+def test_records_of_an_earlier_log_behind_a_new_first_one_are_not_taken_for_its_own(monkeypatch):
+    monkeypatch.setattr(store, "MOST_RECORDS", 3)
+    groups = [{key: b"%d" % number} for number, key in enumerate("abcdefgh")]     # each a record of one size
+    cleared, found = [{key: None for key in "abcdefgh"}], set()
+    for seed in range(60):
+        world = World(seed)
+        for group in [*groups, *cleared]:       # slot-a, its log, slot-b, its log, slot-a: empty
+            world.write(group)
+        assert layout.read_log(world.disk.contents()["log-a"]).last < world.store.sequence
+        world.power({"z": b"9"}, 2)             # the first record of log-a: all is written, nothing synced
+        found.add(tuple(world.base.items()))
+    assert found == {(), (("z", b"9"),)}
+
+
 def test_power_lost_in_the_first_write_is_no_memory_or_the_write():
     states = set()
     for seed in range(60):
--- a/tests/storage/test_store_calls.py
+++ b/tests/storage/test_store_calls.py
@@ -1,4 +1,5 @@
 """What each call of the store costs, refuses and leaves; on a real folder and on a simulated disk."""
+import contextlib
 import errno
 import os
 from random import Random
@@ -16,7 +17,8 @@
 
 
 def again(disk):
-    return Store("simulated", files=disk.files).load()
+    """What a start would find; nothing is written."""
+    return recovery.recover(disk.files)
 
 
 def test_a_folder_that_is_not_there_is_empty_and_is_made_by_the_first_write(tmp_path):
@@ -83,6 +85,16 @@
     assert again(disk).values["n"] == b"299"
 
 
+def test_files_that_were_long_get_short_again():
+    disk, one = simulated()
+    for size in (90_000, 90_000, 0, 0, 0):
+        one.close()
+        one.write({"a": bytes(size)})
+        one.write({"b": bytes(size // 2)})
+    sizes = {name: len(data) for name, data in disk.contents().items()}
+    assert sorted(sizes) == ["log-a", "log-b", "slot-a", "slot-b"] and max(sizes.values()) < 200, sizes
+
+
 def test_a_full_disk_refuses_and_the_next_write_works_in_the_other_slot():
     disk, one = simulated()
     one.write({"a": b"1"})
@@ -127,23 +139,85 @@
         disk.trouble = trouble
         with pytest.raises(KeyboardInterrupt):
             one.write({"a": b"2"})
-        disk.trouble = None
+        disk.trouble, disk.full = None, seed % 2 == 0       # a full disk is synced, another is written anew
+        assert Store("simulated", files=disk.files).load().values == {"a": b"2"}
+        disk.power_loss(Random(seed))
         assert again(disk).values == {"a": b"2"}
+
+
+def test_what_a_failed_sync_left_is_durable_once_a_new_process_was_told():
+    for seed in range(20):
+        disk, one = simulated(seed)
+        one.write({"a": b"1"})
+
+        def trouble(operation, name):
+            if operation == "sync":
+                raise OSError(errno.EIO, "sync")
+        disk.trouble = trouble
+        with pytest.raises(OSError):
+            one.write({"a": b"2"})
+        disk.trouble = None
+        assert Store("simulated", files=disk.files).load().values == {"a": b"2"}
         disk.power_loss(Random(seed))
         assert again(disk).values == {"a": b"2"}
 
 
-def test_a_load_that_cannot_sync_tells_nothing():
+def test_the_slot_of_before_is_not_touched_while_the_newer_one_may_not_be_durable():
+    for seed in range(60):
+        disk, one = simulated(seed)
+        one.write({"a": b"1" * 2000})
+
+        def trouble(operation, name):
+            if operation == "sync":
+                raise OSError(errno.EIO, "sync")
+        disk.trouble = trouble
+        for _ in range(2):      # the log, then slot-b: whole to read, and on disk whatever came of it
+            with pytest.raises(OSError):
+                one.write({"a": b"2" * 2000})
+        disk.trouble, disk.full = None, seed % 2 == 0
+        two, left = Store("simulated", files=disk.files), [seed % 7]
+        two.load()
+        disk.full = False
+
+        def ending(operation, name, left=left):
+            left[0] -= 1
+            if left[0] < 0:
+                raise KeyboardInterrupt
+        disk.trouble = ending
+        with contextlib.suppress(KeyboardInterrupt):
+            two.write({"b": b"3"})
+        disk.trouble = None
+        disk.power_loss(Random(seed))
+        found = again(disk)
+        assert found.state is State.SOUND and found.values["a"] in (b"1" * 2000, b"2" * 2000)
+
+
+def test_a_load_that_can_neither_write_nor_sync_tells_nothing():
     disk, one = simulated()
     one.write({"a": b"1"})
 
     def trouble(operation, name):
         raise OSError(errno.EIO, "gone")
     disk.trouble = trouble
+    two = Store("simulated", files=disk.files)
+    with pytest.raises(OSError):
+        two.load()
     with pytest.raises(OSError):
-        again(disk)
+        two.write({"a": b"2"})
     disk.trouble = None
-    assert again(disk).values == {"a": b"1"}
+    two.write({"b": b"3"})
+    assert again(disk).values == {"a": b"1", "b": b"3"}
+
+
+def test_a_start_costs_four_syncs_and_the_first_write_after_it_one():
+    disk, one = simulated()
+    one.write({"a": b"1"})
+    one.write({"a": b"2"})
+    before, two = disk.syncs, Store("simulated", files=disk.files)
+    two.load()
+    assert disk.syncs == before + 4
+    two.write({"a": b"3"})
+    assert disk.syncs == before + 5 and again(disk).values == {"a": b"3"}
 
 
 def test_a_map_too_large_is_refused_and_nothing_is_tried():
