Idle connections are kept as long as the upstreams say

Cause: a limit of 4 s of our own held although upstreams say that they keep idle connections for 10 s.

--- a/shedgrade/dataplane/caller.py
+++ b/shedgrade/dataplane/caller.py
@@ -19,6 +19,7 @@
         super().__init__(loop, clock, addresses, DIAL, KEEPS, budget)
         self.protocol, self.misdirected = protocol, misdirected
         self.spoke: dict[int, int] = {}
+        self.told: int | None = None        # seconds, as an upstream said
         self.asked: dict[int, int] = {}     # by upstream: when it was sent what it has not spoken since
 
     def spoken(self, upstream: int, now: int) -> None:
@@ -55,8 +56,10 @@
             link.cut()
 
     def idle_told(self, seconds: int) -> None:
-        limit = max(seconds * 10_000 - MARGIN, seconds * 5_000)
-        self.idle.limit = min(self.idle.limit, limit) if limit else 1
+        """Upstreams of one service keep idle connections alike; the least that was told holds for all."""
+        limit = max(seconds * 10_000 - MARGIN, seconds * 5_000, 1)
+        self.idle.limit = limit if self.told is None else min(self.idle.limit, limit)
+        self.told = seconds
 
     def drop(self, upstream: int) -> None:
         """It is forgotten, and its index may be another's."""
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -365,12 +365,14 @@
 def test_the_head_of_an_answer_is_the_upstreams_less_what_belongs_to_a_connection():
     async def play():
         async def more(request, writer):
-            writer.write(head(request, Content_Length=2, Keep_Alive="timeout=5", X_Own="kept") + b"ok")
+            writer.write(head(request, Content_Length=2, Keep_Alive="timeout=10", X_Own="kept") + b"ok")
 
         async with sidecar(configuration(route(route_class="safe")), Upstream("i-1", more)) as plane:
             client, _ = await answered(plane, request())
             assert client.headers["x-own"] == "kept" and "keep-alive" not in client.headers
-            assert plane.services["lm"].caller.idle.limit == 40_000
+            assert plane.services["lm"].caller.idle.limit == 90_000
+            plane.services["lm"].caller.idle_told(3)
+            assert plane.services["lm"].caller.idle.limit == 20_000
     run(play())
 
 
