--- a/shedgrade/engines/connection.py
+++ b/shedgrade/engines/connection.py
@@ -17,7 +17,7 @@
 MOST_WAIT = 16      # requests that may wait on one connection before it is read no further
 
 
-class UpstreamEnd(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol):
     """What comes while a request is in hand waits for its turn."""
 
     def __init__(self, server) -> None:
@@ -207,7 +207,7 @@
         left = self.engine.cold_left(now)
         if left > 0:
             lines.append(b"Cold-Remaining: %d" % (left * 1000))
-        well = not self.server.draining and not self.server.healthy_not
+        well = not self.server.draining and not self.server.unwell
         self.answer(200 if well else 503, b"", lines)
 
     def late(self) -> None:
--- a/shedgrade/engines/server.py
+++ b/shedgrade/engines/server.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from shedgrade.engines.connection import UpstreamEnd
+from shedgrade.engines.connection import ServerConnection
 from shedgrade.engines.engine import Engine
 from shedgrade.engines.records import Run
 from shedgrade.engines.work import Done, Event, Fell, Late, Rejected, Started
@@ -43,9 +43,9 @@
                  record: Callable[[Run], None], fell: Callable[[], None] = lambda: None) -> None:
         self.loop, self.upstream, self.engine, self.random = loop, upstream, engine, random
         self.record, self.fell = record, fell
-        self.ends: dict[UpstreamEnd, None] = {}
-        self.in_hand: dict[int, UpstreamEnd] = {}
-        self.draining = self.dark = self.healthy_not = False
+        self.connections: dict[ServerConnection, None] = {}
+        self.in_hand: dict[int, ServerConnection] = {}
+        self.draining = self.dark = self.unwell = False
         self.timer = None
         self.server = None
         self.refused = self.accepted = 0
@@ -53,7 +53,8 @@
     async def start(self) -> None:
         """OSError if the address can't be had. Port 0: the kernel's choice, told in `upstream.address`."""
         host, port = self.upstream.address
-        self.server = await self.loop.create_server(lambda: UpstreamEnd(self), host, port, backlog=BACKLOG)
+        self.server = await self.loop.create_server(lambda: ServerConnection(self), host, port,
+                                                    backlog=BACKLOG)
         self.upstream.address = self.server.sockets[0].getsockname()[:2]
 
     # --- its life
@@ -74,9 +75,9 @@
             self.timer.cancel()
             self.timer = None
         self.dark = True
-        for end in list(self.ends):
-            end.outcome("cut")
-            reset(end.transport)
+        for connection in list(self.connections):
+            connection.outcome("cut")
+            reset(connection.transport)
 
     # --- connections
 
@@ -85,30 +86,30 @@
         long = len(self.engine.waiting) > self.engine.settings.queue // 2
         return self.upstream.max_connections // 2 if long else self.upstream.max_connections
 
-    def opened(self, end: UpstreamEnd) -> None:
-        if len(self.ends) >= self.most() or self.dark:
+    def opened(self, connection: ServerConnection) -> None:
+        if len(self.connections) >= self.most() or self.dark:
             self.refused += 1
-            reset(end.transport)
+            reset(connection.transport)
             return
         self.accepted += 1
-        self.ends[end] = None
+        self.connections[connection] = None
         self.engine.connected(self.loop.time())
 
-    def closed(self, end: UpstreamEnd) -> None:
-        self.ends.pop(end, None)
-        number = end.number
+    def closed(self, connection: ServerConnection) -> None:
+        self.connections.pop(connection, None)
+        number = connection.number
         if number and self.in_hand.pop(number, None) is not None:
-            end.outcome("left")
+            connection.outcome("left")
             self.engine.cancel(self.loop.time(), number)
             self.drive()
 
     # --- work
 
-    def submit(self, end: UpstreamEnd, work) -> None:
+    def submit(self, connection: ServerConnection, work) -> None:
         now = self.loop.time()
         number = self.engine.submit(now, work)
-        end.number = number
-        self.in_hand[number] = end
+        connection.number = number
+        self.in_hand[number] = connection
         self.drive()
 
     def drive(self) -> None:
@@ -135,22 +136,22 @@
             self.close()
             self.fell()
             return
-        end = self.in_hand.get(effect.number)
-        if end is None or self.dark:
+        connection = self.in_hand.get(effect.number)
+        if connection is None or self.dark:
             return
         if isinstance(effect, (Done, Rejected, Late)):
             del self.in_hand[effect.number]
         match effect:
             case Started():
-                end.started(self.loop.time())
+                connection.started(self.loop.time())
             case Event(_, id, tokens, version):
-                end.event(id, tokens, version)
+                connection.event(id, tokens, version)
             case Done():
-                end.done()
+                connection.done()
             case Rejected(_, why):
-                end.turn_away(503, why)
+                connection.turn_away(503, why)
             case Late():
-                end.late()
+                connection.late()
 
 
 def reset(transport) -> None:
--- a/shedgrade/lab/system/demo.py
+++ b/shedgrade/lab/system/demo.py
@@ -155,6 +155,7 @@
 async def begin(world: World) -> None:
     """Until every client would be told of an edge that serves."""
     await world.until(world.serving, STARTS)
+    world.calmed(world.starting)
 
 
 async def run(seed: int, say: Callable[[str], None]) -> list[Breach]:
--- a/shedgrade/lab/system/judge.py
+++ b/shedgrade/lab/system/judge.py
@@ -32,6 +32,7 @@
     found += lost(told, runs)
     configurations = Configurations(told.orders)
     found += orders.taken(told)
+    found += orders.acknowledged(told, bounds)
     found += orders.in_force(told, configurations, bounds)
     found += orders.kept(told)
     return found
--- a/shedgrade/lab/system/orders.py
+++ b/shedgrade/lab/system/orders.py
@@ -49,6 +49,17 @@
             yield Breach("CONFIG", f"{len(bodies)} changes on top of version {base} were acknowledged")
 
 
+def acknowledged(told: History, bounds: dict[str, float]) -> Iterator[Breach]:
+    """In calm, every proper order is answered within `ackMs`; a configuration has 3 ms more a route."""
+    contact, limit = bounds["contactMs"] / 1000, bounds["ackMs"] / 1000
+    for order in told.orders:
+        allowance = 0.003 * len(json.loads(order.body)["routeList"]) if order.body else 0.0
+        took = order.ended_at - order.sent_at
+        proper = order.valid and (order.taken or not order.status)
+        if proper and took > limit + allowance and told.calm(order.sent_at - contact, order.ended_at):
+            yield Breach("Acks", f"{order.verb} {order.zone or order.version} waited {took:.1f} s")
+
+
 def in_force(told: History, configurations: Configurations, bounds: dict[str, float]) -> Iterator[Breach]:
     """Each run, and each 404, is as a configuration allows that may be in force."""
     apply, contact = bounds["configApplyMs"] / 1000, bounds["contactMs"] / 1000
--- a/shedgrade/lab/system/world.py
+++ b/shedgrade/lab/system/world.py
@@ -52,6 +52,7 @@
     # --- up and down
 
     async def __aenter__(self) -> "World":
+        self.starting = self.trouble("the system starts")
         try:
             await self.platform.start()
             await self.fleet.start_all()
--- a/tests/labsystem/test_system_judge.py
+++ b/tests/labsystem/test_system_judge.py
@@ -204,6 +204,16 @@
     assert rules(told) == ["CONFIG"]
 
 
+def test_an_order_that_waits_too_long_in_calm_is_found():
+    orders = [replace(put(1, 0), sent_at=10.0, ended_at=15.2)]
+    assert rules(past(orders=orders)) == ["Acks"]
+    assert rules(past(orders=[replace(orders[0], ended_at=15.01)])) == []
+    assert rules(past(orders=orders, troubles=[(5.0, 6.5, "a kill")])) == []
+    late = [put(1, 0), Order("evacuate", 10.0, 15.2, 0, "quay")]
+    told = past(orders=late, read_back=late[0].body)
+    assert rules(told) == ["Acks"]
+
+
 def test_the_newest_that_was_acknowledged_comes_back_as_it_was_sent():
     orders = [put(1, 0), put(2, 1)]
     assert rules(past(orders=orders)) == []
