Calls over an adopted connection are answered

A member that adopted the primary's connection relayed orders and reads over it; the primary answered them one way, so the asker never took the answer and said 503 for as long as that connection was in use. Such calls now go where incoming ones go and are answered on their own connection.

--- a/shedgrade/link/tcp.py
+++ b/shedgrade/link/tcp.py
@@ -81,12 +81,14 @@
     """Sends to link addresses. One connection an address is kept, or one that came in from it is used.
 
     `handle(sender, frame)` gets the frames that come back over own connections, answers to own calls aside.
-    `local_host`: the IP that own connections are bound to.
+    `local_host`: the IP that own connections are bound to. `called(peer, frame)` gets the calls among them,
+    as a `LinkServer`'s handle does: one that adopted our connection asks over it. None: `handle` gets all.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, own: str, handle: Callable[[str, Frame], None],
-                 local_host: str) -> None:
+                 local_host: str, called: Callable[[Peer, Frame], None] | None = None) -> None:
         self.loop, self.own, self.given, self.local_host = loop, own, handle, local_host
+        self.called = called
         self.routes: dict[str, Route] = {}
         self.closed = False
 
@@ -219,7 +221,10 @@
             refuse(answer, why)
 
     def handle(self, peer: Peer, frame: Frame) -> None:
-        self.given(frame.sender, frame)
+        if frame.number and self.called is not None:
+            self.called(peer, frame)
+        else:
+            self.given(frame.sender, frame)
 
 
 def expire(answer: asyncio.Future) -> None:
