A term met by a member that doesn't hold the duty reaches the holder

An edge asks the nearest core member, mostly not the one that polls, and only the holder of a duty stands again above a term met outside. Whoever meets such a term now tells the holder by a refusal, so the list's terms rise above what edges hold; before, an edge waited for the list that it held to age.

--- a/shedgrade/controlplane/duties.py
+++ b/shedgrade/controlplane/duties.py
@@ -247,6 +247,12 @@
         if self.tenure is not None and term > self.tenure.term and self.candidacy is None:
             self.stand(now)
 
+    def met(self, now: float, term: int) -> None:
+        """A term was met outside."""
+        self.meet(now, term)
+        if self.tenure is None and self.alive(now) and term > self.holder_term:
+            self.effects.append(Send(self.holder, Acknowledgement(self.duty, self.holder_term, 0, term)))
+
     # messages
 
     def receive(self, now: float, sender: str, message: Message) -> None:
@@ -386,5 +392,6 @@
 
     def met(self, now: float, duty: str, term: int) -> None:
         """A term was met outside, say in what a data plane holds: own terms go above it.
-        Guards against members that all started anew and count from the beginning."""
-        self.rounds[duty].meet(now, term)
+        Guards against members that all started anew and count from the beginning. Whoever holds the duty is
+        told, as only it is to stand again."""
+        self.rounds[duty].met(now, term)
--- /dev/null
+++ b/tests/controlplane/test_terms_met.py
@@ -0,0 +1,35 @@
+"""Terms of a duty that are met outside, by a member that does not hold it."""
+from random import Random
+
+from test_duties import POLL, Play
+
+from shedgrade.controlplane import duties as module
+from shedgrade.controlplane.duties import Acknowledgement, Duties, Heartbeat, Send
+
+
+def test_the_holder_is_told_and_rises_above_it_without_a_gap():
+    for seed in range(10):
+        play = Play(seed)
+        play.filled(4.0)
+        [first] = play.holders()
+        outside = play.terms()[0] + (9 << module.TERM_BITS)
+        other = next(name for name in play.names if name != first)
+        play.members[other].met(play.now, POLL, outside)
+        play.take(other)
+        until = play.now + 2
+        while play.now < until:
+            play.step(until)
+            assert play.holders() == [first]
+        assert play.terms()[-1] > outside and len(play.history) == 2
+
+
+def test_a_term_that_is_not_above_the_holders_is_told_to_nobody():
+    member = Duties("a:1", lambda: ("a:1", "b:1", "c:1"), Random(1), 0.0, (POLL,))
+    member.met(0.5, POLL, 9 << 20)
+    assert member.effects == []     # nobody holds it
+    member.receive(2.0, "b:1", Heartbeat(POLL, 10 << 20, 1))
+    member.effects.clear()
+    member.met(2.1, POLL, 10 << 20)
+    assert member.effects == []
+    member.met(2.1, POLL, (10 << 20) + 1)
+    assert member.effects == [Send("b:1", Acknowledgement(POLL, 10 << 20, 0, (10 << 20) + 1))]
