--- a/tests/membership/test_gossip_running.py
+++ b/tests/membership/test_gossip_running.py
@@ -42,7 +42,8 @@
     async with asyncio.timeout(MOST):
         while not condition():
             heard = asyncio.get_running_loop().create_future()
-            asyncio.get_running_loop().call_later(0.005, heard.set_result, None)
+            asyncio.get_running_loop().call_later(
+                0.005, lambda heard=heard: heard.done() or heard.set_result(None))
             await heard
 
 
