--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -78,7 +78,7 @@
                                         random.getrandbits(48), own), settings.seed_gossips, random)
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
         self.operators = Operators(self.ordering, self.status)
-        self.directory = Directory(settings.zones, random, settings.bounds, settings.region)
+        self.directory = Directory(settings.zones, random, settings.bounds)
         self.reload = Reload(settings, watched, self.resettled)
         self.http: list[HttpServer] = []
         self.timer = None
@@ -158,7 +158,7 @@
         """The settings were read anew."""
         self.settings = settings
         self.member.decide = make_decide(settings.zones)
-        self.directory = Directory(settings.zones, self.random, settings.bounds, settings.region)
+        self.directory = Directory(settings.zones, self.random, settings.bounds)
         self.poller.retarget(settings.cloud_api)
 
     def spread_edges(self, now: float) -> None:
