--- a/tests/storage/test_store_calls.py
+++ b/tests/storage/test_store_calls.py
@@ -192,6 +192,30 @@
         assert found.state is State.SOUND and found.values["a"] in (b"1" * 2000, b"2" * 2000)
 
 
+def test_what_a_load_did_not_tell_never_comes_back():
+    for seed in range(60):
+        disk, one = simulated(seed)
+        for _ in range(2):      # a start each: both slots have been synced
+            one.write({"a": b"1"})
+            one.close()
+        one.load()
+
+        def trouble(operation, name, kind=OSError):
+            if operation == ("sync" if kind is OSError else "write"):
+                raise kind
+        disk.trouble = trouble
+        for value in (b"2", b"3"):      # to the log, then to the other slot: either may be whole on disk
+            with pytest.raises(OSError):
+                one.write({"a": value})
+        disk.trouble = lambda operation, name: trouble(operation, name, KeyboardInterrupt)
+        with pytest.raises(KeyboardInterrupt):      # over a part of that slot, and not synced
+            one.write({"b": b"4" * 900})
+        disk.trouble = None
+        told = Store("simulated", files=disk.files).load().values
+        disk.power_loss(Random(seed))
+        assert again(disk).values == told
+
+
 def test_a_load_that_can_neither_write_nor_sync_tells_nothing():
     disk, one = simulated()
     one.write({"a": b"1"})
