--- /dev/null
+++ b/benchmarks/storage.py
@@ -0,0 +1,76 @@
+"""Figures of the store on this machine's disk: `python benchmarks/storage.py [FOLDER] [SECONDS]`.
+
+A line for each size of value, in a state of three keys: writes a second, how long one takes, bytes handed to
+the disk and syncs for each write, the largest size of the folder, and how long a start takes. FOLDER is where
+a folder of its own is made, the system's temporary one if left out; it decides which disk is measured.
+"""
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from shedgrade.storage import Store  # noqa: E402
+from shedgrade.storage.files import Files  # noqa: E402
+
+
+class CountingFiles(Files):
+    """Counts what goes to the disk."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.written = self.syncs = 0
+
+    def write(self, name: str, offset: int, data: bytes) -> None:
+        self.written += len(data)
+        super().write(name, offset, data)
+
+    def sync(self, name: str) -> None:
+        self.syncs += 1
+        super().sync(name)
+
+    def sync_folder(self) -> None:
+        self.syncs += 1
+        super().sync_folder()
+
+
+def measure(folder: Path, size: int, seconds: float) -> str:
+    files = CountingFiles(folder)
+    store = Store(folder, files)
+    store.load()
+    store.write({"evacuations": b"[]", "version": b"0"})
+    took, largest, bytes_before, syncs_before = [], 0, files.written, files.syncs
+    begun = time.perf_counter()
+    while time.perf_counter() - begun < seconds:
+        value = len(took).to_bytes(8, "little") + bytes(size - 8)
+        at = time.perf_counter()
+        store.write({"configuration": value, "version": b"%d" % len(took)})
+        took.append(time.perf_counter() - at)
+        if len(took) % 16 == 0:
+            largest = max(largest, sum(path.stat().st_size for path in folder.iterdir()))
+    spent = sum(took)
+    written, syncs = files.written - bytes_before, files.syncs - syncs_before
+    store.close()
+    at = time.perf_counter()
+    again = Store(folder)
+    again.load()
+    start = time.perf_counter() - at
+    again.close()
+    took.sort()
+    return (f"{size} B: {len(took) / spent:.0f} writes/s, "
+            f"median {took[len(took) // 2] * 1000:.2f} ms, p99 {took[len(took) * 99 // 100] * 1000:.2f} ms, "
+            f"{written / len(took):.0f} bytes and {syncs / len(took):.2f} syncs a write, "
+            f"folder up to {largest} bytes, start {start * 1000:.1f} ms")
+
+
+def main() -> None:
+    place = sys.argv[1] if len(sys.argv) > 1 else None
+    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 3.0
+    for size in (100, 100_000, 4_000_000):
+        with tempfile.TemporaryDirectory(dir=place) as folder:
+            print(measure(Path(folder), size, seconds), flush=True)
+
+
+if __name__ == "__main__":
+    main()
