--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,13 @@
 	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
 	touch .venv/ready
 
-demo: setup
+# The demo needs what the programs need, and no more: it is to be seen soon after a clone.
+.venv/programs: requirements.txt
+	test -d .venv || $(PYTHON) -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	touch .venv/programs
+
+demo: .venv/programs
 	.venv/bin/python -m shedgrade.lab.system
 
 demo-sidecar: setup
