A core process waits for a disk that can't be read at its start

Cause: an error of the disk while it was loaded ended the process with a trace, and it was started again into the same trouble.

--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -2,8 +2,9 @@
 import asyncio
 import gc
 import signal
+from collections.abc import Callable
 from random import Random
-from time import time
+from time import sleep, time
 
 import msgspec
 
@@ -31,12 +32,13 @@
 from shedgrade.membership.running import Gossip
 from shedgrade.record import AskRecord, RecordMoved, RecordRead
 from shedgrade.replication import Answer, Finished, Left, Member, Persist, Send, messages
-from shedgrade.storage import Store
+from shedgrade.storage import Found, Store
 
 LIST = "upstreams"      # the duty of polling the platform's list
 BEAT = 0.25             # s between two looks at what has no timer of its own
 SPREAD = 0.5            # s between two words to other members about the edges heard here
 LEAVES = 0.2            # s for what was said last to leave
+RELOAD = 0.2            # s before a disk that can't be read is tried again
 AGED = 3                # beats without a list from the platform after which its holder gives the duty up
 
 encode = msgspec.msgpack.Encoder().encode
@@ -44,6 +46,20 @@
 decode_replication = msgspec.msgpack.Decoder(messages.Message).decode
 
 
+def loaded(store: Store, wait: Callable[[float], None] = sleep) -> Found:
+    """What the disk holds. Guards against a disk in trouble at the start: nothing is served before it is
+    read, and a process that ends is started again into the same trouble."""
+    told = False
+    while True:
+        try:
+            return store.load()
+        except OSError as failure:
+            if not told:
+                logger.warning("the disk can't be read yet: {}", failure.strerror or failure)
+            told = True
+            wait(RELOAD)
+
+
 class ControlPlane:
     """Owns the member of the control state, the hub, the list, the duties, and all their sockets."""
 
@@ -54,7 +70,7 @@
         own = self.own = settings.link_address
         now = loop.time()
         self.store = Store(settings.data_dir)
-        found = self.store.load()
+        found = loaded(self.store)
         for finding in found.findings:
             logger.warning("disk: {}", finding)
         self.disk = Disk(loop, self.store, self.persisted)
