An upstream set aside is tried by a connection before it returns

Change: half a second before its return a connection is tried, as for silent ones; without one it stays aside.

--- a/shedgrade/dataplane/service.py
+++ b/shedgrade/dataplane/service.py
@@ -14,6 +14,7 @@
 
 QUIET = 4_000           # tenths of a ms without a word from an upstream that has work of ours
 AGAIN = 10_000          # tenths of a ms before one that was reached is tried again
+BEFORE = 5_000          # tenths of a ms before the return of one set aside at which it is tried: DIAL and more
 
 
 class Kept:
@@ -103,11 +104,13 @@
 
     def look(self) -> None:
         """Guards against a machine that went dark: kept connections to it stay open and say nothing. One that
-        is only slow, with long prompts before ours, still takes a connection; one that is dark takes none."""
+        is only slow, with long prompts before ours, still takes a connection; one that is dark takes none.
+        One set aside is tried so before it returns, or a client's request would pay for finding it dark."""
         now = self.clock.now()
         for index, up in list(self.balancer.ups.items()):
-            if up.flight and now - self.caller.quiet_since(index) > QUIET and (
-                    now - self.trying.get(index, -AGAIN) >= AGAIN):
+            silent = up.flight and now - self.caller.quiet_since(index) > QUIET
+            returns = up.listed and up.aside_until and up.aside_until - now <= BEFORE
+            if (silent or returns) and now - self.trying.get(index, -AGAIN) >= AGAIN:
                 self.trying[index] = now
                 task = self.loop.create_task(self.reach(index))
                 self.tasks.add(task)
@@ -121,7 +124,7 @@
     def unreached(self, now: int, upstream: int) -> None:
         up = self.balancer.ups.get(upstream)
         if up is not None:
-            self.balancer.set_aside(now, up, True)
+            self.balancer.keep_aside(now, up)
         self.caller.dead(upstream)
 
     def forget(self, upstream: int) -> None:
--- a/shedgrade/serving/balancer.py
+++ b/shedgrade/serving/balancer.py
@@ -104,6 +104,12 @@
         up.fade(now, self.memory)
         return 1.0      # every upstream takes all its turns; in flight tells which are passed over
 
+    def keep_aside(self, now: int, up: Upstream) -> None:
+        """It can't be reached: it is set aside, or stays so for a whole span from now."""
+        if up.aside_until and up.listed:
+            self.back(up)
+        self.set_aside(now, up, True)
+
     def measure(self, now: int, up: Upstream, took: int, crowd: int, rpc: Rpc) -> None:
         """Times of streams follow their lengths, not their upstreams: nothing is learnt of them."""
 
--- /dev/null
+++ b/tests/dataplane/test_return_tried_first.py
@@ -0,0 +1,91 @@
+"""An upstream that is set aside is tried by a connection before it returns, not by a client's request."""
+import asyncio
+import socket
+from types import SimpleNamespace
+
+from shedgrade.dataplane.service import BEFORE, ServicePool
+from shedgrade.knowledge import Instance
+from shedgrade.memory.budget import Budget
+from shedgrade.serving.repeats import Repeats
+
+SECOND = 10_000
+
+
+class Held:
+    """A clock that stands until it is set; its alarms are far away."""
+
+    def __init__(self, loop):
+        self.loop, self.at = loop, SECOND
+
+    def now(self):
+        return self.at
+
+    def on_monotonic(self, at):
+        return self.loop.time() + 3600
+
+
+def pool_of(loop, port):
+    clock = Held(loop)
+    pool = ServicePool("lm", {"east": 0}, "east", 7, loop, clock, Budget(4000, 300),
+                       Repeats(0.2, 50.0, 10 * SECOND), "edge-1")
+    pool.listed([(Instance("i-1", "lm", f"127.0.0.1:{port}", "z1", "available"), 0.0)], {"z1": "east"},
+                frozenset(), {})
+    pool.turn.run()
+    return SimpleNamespace(pool=pool, clock=clock, up=pool.balancer.ups[0], ring=pool.balancer.zones[0].ring)
+
+
+async def looked(one, at):
+    """A look at this time, and all that it began."""
+    one.clock.at = at
+    one.pool.look()
+    begun = list(one.pool.tasks)
+    await asyncio.gather(*begun)
+    one.pool.turn.gather(lambda now: None)      # as an alarm does
+    one.pool.turn.run()
+    return len(begun)
+
+
+def free_port():
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        return taken.getsockname()[1]
+
+
+def test_one_that_is_still_out_of_reach_stays_aside():
+    async def story():
+        one = pool_of(asyncio.get_running_loop(), free_port())
+        one.pool.balancer.set_aside(one.clock.at, one.up, True)
+        until = one.up.aside_until
+        assert await looked(one, until - BEFORE - 1) == 0
+        assert await looked(one, until - BEFORE) == 1
+        assert one.up.aside_until >= one.clock.at + 2 * SECOND and one.ring == []
+        assert await looked(one, until) == 0 and one.ring == []
+    asyncio.run(story())
+
+
+def test_one_that_can_be_reached_returns_in_its_time():
+    async def story():
+        met = asyncio.Event()
+        server = await asyncio.start_server(lambda reader, writer: met.set(), "127.0.0.1", 0)
+        one = pool_of(asyncio.get_running_loop(), server.sockets[0].getsockname()[1])
+        one.pool.balancer.set_aside(one.clock.at, one.up, True)
+        until = one.up.aside_until
+        assert await looked(one, until - BEFORE) == 1
+        await asyncio.wait_for(met.wait(), 5)
+        assert one.up.aside_until == until and one.ring == []
+        assert await looked(one, until) == 0 and one.ring == [one.up]
+        for link in list(one.pool.caller.open):
+            link.cut()
+        server.close()
+    asyncio.run(story())
+
+
+def test_one_that_left_the_list_is_not_tried():
+    async def story():
+        one = pool_of(asyncio.get_running_loop(), free_port())
+        one.pool.balancer.set_aside(one.clock.at, one.up, True)
+        until = one.up.aside_until
+        one.pool.listed([], {"z1": "east"}, frozenset(), {})
+        one.pool.turn.run()
+        assert await looked(one, until - BEFORE) == 0
+    asyncio.run(story())
