Candidates stand in turn; founders' own votes count; a founder never heard is filled in

Backups stand in their order, a pre-vote is given to one at a time, and a silent member is replaced before another is added.

--- a/shedgrade/replication/ballot.py
+++ b/shedgrade/replication/ballot.py
@@ -34,6 +34,7 @@
         self.promises: dict[int, Promise] = {}
         self.grants: dict[int, PreVoteReply] = {}
         self.installed: set[int] = set()
+        self.refusals: set[int] = set()
         self.record: EpochRecord | None = None
         self.change = None
         self.avoid: frozenset[int] = frozenset()
@@ -50,6 +51,7 @@
         self.grants = {held.incarnation: PreVoteReply(
             held.incarnation, held.founding, 0, True, held.promise[0], None, None)}
         self.number = member.highest + 1
+        self.ends = now + 2 * member.timing.resend   # two that deny each other come at other times then
         self.ask_pre_vote(now)
 
     def start(self, now: float, change=None, avoid: frozenset[int] = frozenset()) -> None:
@@ -66,7 +68,7 @@
 
     def begin(self, now: float, phase: str) -> None:
         self.phase, self.since, self.ends = phase, now, now + self.member.timing.ballot
-        self.promises, self.grants, self.installed, self.sent = {}, {}, set(), {}
+        self.promises, self.grants, self.installed, self.refusals, self.sent = {}, {}, set(), set(), {}
         self.record = self.best = self.change = None
         self.avoid = frozenset()
         self.resend_at = now
@@ -124,7 +126,12 @@
 
     def refused(self, now: float, refusal: Refusal) -> None:
         """Another has a higher number: leave it the way for a while."""
-        if self.phase in ("prepare", "fetch", "install") and refusal.promised > self.number:
+        if self.phase not in ("prepare", "fetch", "install") or refusal.number != self.number:
+            return
+        self.refusals.add(refusal.incarnation)
+        members = self.member.held.record.members
+        left = sum(peer.incarnation not in self.refusals for peer in members)
+        if refusal.promised > self.number or (self.phase == "prepare" and left < majority(members)):
             self.member.step_down(now)
 
     def choose(self, now: float) -> None:
@@ -169,28 +176,32 @@
     def groups(self, base: EpochRecord, promises: list[Promise]) -> tuple[tuple[Peer, ...], tuple[Peer, ...]]:
         """Members and those before of the new epoch. Members change only from an epoch that is known to be
         active."""
+        known = dict(self.member.founders)
+        known.update((each.address, each.incarnation) for each in promises if each.founding)
+        members = tuple(peer if peer.incarnation else self.founder(peer, known) for peer in base.members)
         if not base.active:
-            return base.members, base.before
-        if base.number == 0:   # founding: fill in who was heard
-            known = {each.address: each.incarnation for each in promises if each.founding}
-            known = {**self.member.founders, **known}
-            names = self.member.names
-            members = [(known.get(peer.address, 0), peer.address) for peer in base.members]
-            return tuple(Peer(who, names.get(who, ""), address) for who, address in members), base.members
-        members = base.members
+            return members, base.before
         if self.change is not None and base.number == self.change.number:
             members = self.change(members)
         return members, base.members
 
+    def founder(self, peer: Peer, known: dict[str, int]) -> Peer:
+        """A founder that was not heard before is filled in: the same member, by its number."""
+        incarnation = known.get(peer.address, 0)
+        return Peer(incarnation, self.member.names.get(incarnation, peer.name), peer.address)
+
     # --- fetch and install
 
     def fetch(self, now: float) -> None:
         self.resend_at = now + 4 * self.member.timing.resend
-        self.member.send(self.member.address_of(self.best.incarnation, self.best.address), Fetch(self.number))
+        self.member.send(self.member.address_of(self.best.incarnation, self.best.address), Fetch(
+            self.number, self.member.held.mark, self.member.held.finished[:2]))
 
     def transfer(self, now: float, transfer: Transfer) -> None:
         if self.phase == "fetch" and transfer.number == self.number and transfer.mark == self.best.mark:
-            self.install(now, transfer.mark, transfer.state)
+            state = self.member.held.follow_path(transfer.base, transfer.changes)
+            if state is not None:
+                self.install(now, transfer.mark, state)
 
     def install(self, now: float, mark, state) -> None:
         member, held, number = self.member, self.member.held, self.number
@@ -208,12 +219,8 @@
 
     def send_install(self, now: float, incarnation: int) -> None:
         held, promise = self.member.held, self.promises[incarnation]
-        for base in (promise.mark, promise.finished):   # a witness knows what is finished, in memory
-            changes = held.between(base, held.mark)
-            if changes is not None:
-                break
-        else:
-            base, changes = None, held.state
+        # a witness has what is finished, in memory
+        base, changes = held.path(promise.mark, promise.finished)
         wait = max(self.member.timing.resend, size(changes) / self.member.timing.bytes_per_second)
         self.sent[incarnation] = now + wait * (2 if incarnation in self.sent else 1)
         self.member.send(self.member.address_of(incarnation, promise.address),
@@ -234,7 +241,7 @@
         if not self.phase:
             return
         if now >= self.ends:
-            return self.member.step_down(now)
+            return self.stop() if self.phase == "prevote" else self.member.step_down(now)
         if self.phase == "install":
             for incarnation in self.record.holders:
                 if incarnation not in self.installed and now >= self.sent.get(incarnation, now + 1):
--- a/shedgrade/replication/held.py
+++ b/shedgrade/replication/held.py
@@ -158,6 +158,22 @@
                     return merged
         return None
 
+    def path(self, *bases: Mark) -> tuple[Mark | None, Changes]:
+        """(base, changes from there to the own mark), the first base that the log reaches; or (None, all)."""
+        for base in bases:
+            changes = self.between(base, self.mark)
+            if changes is not None:
+                return base, changes
+        return None, self.state
+
+    def follow_path(self, base: Mark | None, changes: Changes) -> dict[str, bytes] | None:
+        """The state that the changes lead to, None when this member doesn't have the base."""
+        if base is None:
+            return dict(changes)
+        if base == self.mark:
+            return merge(self.state, changes)
+        return merge(self.finished[2], changes) if base == self.finished[:2] else None
+
     def finish(self, mark: Mark) -> None:
         """What is accepted up to the mark is finished."""
         state = None
--- a/shedgrade/replication/joining.py
+++ b/shedgrade/replication/joining.py
@@ -64,13 +64,16 @@
             return None
         guest = min(guests, key=lambda f: f.since)
         peer = Peer(guest.incarnation, guest.name, guest.address)
-        if len(record.members) < 2 * member.tolerated + 1:
-            return Change(record.number, None, "", peer)
-        silent = [(f.heard if (f := lead.followers.get(old.incarnation)) else lead.began, old)
-                  for old in record.members if old.incarnation != member.held.incarnation]
+        others = [(lead.followers.get(old.incarnation), old) for old in record.members
+                  if old.incarnation != member.held.incarnation]
+        silent = [(follower.heard if follower else lead.began, old) for follower, old in others]
         heard, old = min(silent, key=lambda each: each[0], default=(now, None))
         if old is not None and now - heard > timing.replace:
             return Change(record.number, old.incarnation, old.address, peer)
+        # one member more needs a majority of holders that are members already
+        able = 1 + sum(follower is not None and lead.is_able(now, follower) for follower, _ in others)
+        if len(record.members) <= 2 * member.tolerated and able > (len(record.members) + 1) // 2:
+            return Change(record.number, None, "", peer)
         return None
 
 
--- a/shedgrade/replication/member.py
+++ b/shedgrade/replication/member.py
@@ -77,7 +77,7 @@
         self.joining, self.waiting, self.pieces = Joining(self), Waiting(self), Pieces(self)
         self.highest = max(self.held.promise[0], self.held.record.number)
         self.promised = self.held.promise[0]
-        self.addresses: dict[int, str] = {}
+        self.addresses: dict[int, str] = {self.held.incarnation: address}
         self.names: dict[int, str] = {self.held.incarnation: name}
         self.founders: dict[str, int] = {address: self.held.incarnation} if self.held.founding else {}
         self.primary: str | None = None
@@ -296,15 +296,26 @@
 
     def plan_stand(self, now: float) -> None:
         timing, held = self.timing, self.held
-        extra = 0.0 if held.record.number and held.is_holder() else timing.witness_extra
-        if not held.record.number and held.founders and self.address in held.founders:
-            extra = 0.4 * sorted(held.founders).index(self.address)
-            self.stand_at = now + extra
+        turn = self.rank(held.incarnation, self.address)[0] + self.random.random() / 5
+        if not held.record.number:
+            self.stand_at = now + 0.4 * turn
             return
-        self.stand_at = self.heard_at + timing.suspect + extra + self.random.random() * timing.stagger
+        self.stand_at = self.heard_at + timing.suspect + turn * timing.stagger
+
+    def rank(self, who: int, address: str = "") -> tuple[int, int]:
+        """Whose turn it is to stand: backups first, in their order, then witnesses. One at a time splits no
+        vote."""
+        record = self.held.record
+        if not record.number:
+            founders = sorted(self.held.founders or ())
+            return founders.index(address) if address in founders else len(founders), who
+        backups = [each for each in record.holders if each != record.primary]
+        witnesses = [peer.incarnation for peer in record.members if peer.incarnation not in record.holders]
+        order = [*backups, *witnesses]
+        return order.index(who) if who in order else len(order), who
 
     def pre_stand(self, now: float) -> None:
-        self.stand_at = now + self.timing.ballot / 2 + self.random.random() * self.timing.suspect
+        self.stand_at = now + 2 * self.timing.resend + (0.2 + self.random.random()) * self.timing.suspect
         self.ballot.pre_vote(now)
 
     def stand(self, now: float) -> None:
--- a/shedgrade/replication/messages.py
+++ b/shedgrade/replication/messages.py
@@ -94,14 +94,18 @@
 
 
 class Fetch(Struct, frozen=True, tag=True, array_like=True):
-    """A candidate asks for the state that a promise told of."""
+    """A candidate asks for the state that a promise told of; it has those at the two marks."""
     number: int
+    mark: Mark
+    finished: Mark
 
 
 class Transfer(Struct, frozen=True, tag=True, array_like=True):
+    """With `base` the changes lead from there to `mark`, else they are all of it."""
     number: int
     mark: Mark
-    state: dict[str, bytes]
+    base: Mark | None
+    changes: Changes
 
 
 class Install(Struct, frozen=True, tag=True, array_like=True):
--- a/shedgrade/replication/pieces.py
+++ b/shedgrade/replication/pieces.py
@@ -46,9 +46,7 @@
         kind = type(message)
         if kind is m.Replicate and to in self.queues:
             return True
-        if kind is m.Transfer:
-            return size(message.state) > PIECE
-        return kind in (m.Replicate, m.Install, m.Learn) and size(message.changes) > PIECE
+        return kind in (m.Replicate, m.Install, m.Learn, m.Transfer) and size(message.changes) > PIECE
 
     def send(self, now: float, to: str, message) -> None:
         queue = self.queues.setdefault(to, deque())
--- a/shedgrade/replication/timing.py
+++ b/shedgrade/replication/timing.py
@@ -7,8 +7,7 @@
     """All in seconds, but `bytes_per_second`. Fit for round trips up to 150 ms."""
     heartbeat: float = 0.25       # from the primary to each other process
     suspect: float = 0.55         # no word of the primary for so long: a pre-vote is asked and granted
-    stagger: float = 0.15         # candidates spread over this
-    witness_extra: float = 0.2    # a witness leaves the first try to a holder of the state
+    stagger: float = 0.25         # from one possible candidate's turn to the next one's
     quiet: float = 0.6            # nobody else stands for so long after a candidate was heard
     silent: float = 0.6           # a holder that was not heard for so long is replaced
     write_patience: float = 0.45  # so is one that has not written what it was sent
--- a/shedgrade/replication/voting.py
+++ b/shedgrade/replication/voting.py
@@ -24,17 +24,29 @@
 
     def __init__(self, member):
         self.member = member
+        self.granted, self.granted_until = 0, float("-inf")     # the last pre-vote
 
     # --- candidates
 
+    def prefers(self, now: float, candidate: int, sender: str) -> bool:
+        """One pre-vote at a time, or two candidates split the promises. Of two that ask each other the first
+        in the order wins."""
+        member = self.member
+        if member.ballot.phase == "prevote":
+            own = member.rank(member.held.incarnation, member.address)
+            return member.rank(candidate, sender) < own
+        return now >= self.granted_until or candidate == self.granted
+
     def pre_vote(self, now: float, sender: str, question: PreVote) -> None:
         member, held = self.member, self.member.held
         granted = (member.is_voter() and member.saving.healthy(now) and not member.acts()
                    and (not member.hears_primary(now) or question.incarnation == held.record.primary)
-                   and (now >= member.candidate_until or question.incarnation == held.promise[1]))
-        if granted and member.may_stand(now) and now < member.heard_at + 3 * member.timing.suspect and (
-                question.accepted, question.sequence) < (held.accepted, held.mark[1]):
-            granted = False   # this holder has newer state and misses the primary too: it stands itself
+                   and (now >= member.candidate_until or question.incarnation == held.promise[1])
+                   and self.prefers(now, question.incarnation, sender))
+        if granted:
+            self.granted, self.granted_until = question.incarnation, now + member.timing.resend
+            member.stand_at = max(member.stand_at, now + member.timing.quiet)
+            member.ballot.stop()
         record = held.record if held.record.active and held.record.number > question.record else None
         primary = member.primary if member.hears_primary(now) else None
         member.send(sender, PreVoteReply(held.incarnation, held.founding, question.number, granted,
@@ -72,8 +84,10 @@
 
     def fetch(self, now: float, sender: str, fetch: Fetch) -> None:
         held = self.member.held
-        if held.promise[0] == fetch.number:
-            self.member.send(sender, Transfer(fetch.number, held.mark, held.state))
+        if held.promise[0] != fetch.number:
+            return
+        base, changes = held.path(fetch.mark, fetch.finished)
+        self.member.send(sender, Transfer(fetch.number, held.mark, base, changes))
 
     def install(self, now: float, sender: str, install: Install) -> None:
         member, held, record = self.member, self.member.held, install.record
@@ -86,14 +100,10 @@
             return
         if held.record.number > record.number or held.incarnation not in record.holders:
             return
-        if install.base is None:
-            state, changes = install.changes, None
-        elif install.base == held.mark:
-            state, changes = merge(held.state, install.changes), install.changes
-        elif install.base == held.finished[:2]:
-            state, changes = merge(held.finished[2], install.changes), None
-        else:
+        state = held.follow_path(install.base, install.changes)
+        if state is None:
             return
+        changes = install.changes if install.base == held.mark else None
         member.step_down(now)
         member.heard_at = now
 
--- a/shedgrade/simulation/network.py
+++ b/shedgrade/simulation/network.py
@@ -8,7 +8,7 @@
     """Bytes of a message, where they count."""
     if type(message) is Piece:
         return len(message.body)
-    changes = getattr(message, "changes", None) or getattr(message, "state", None)
+    changes = getattr(message, "changes", None)
     return size(changes) if changes else 0
 
 
--- a/shedgrade/simulation/world.py
+++ b/shedgrade/simulation/world.py
@@ -56,7 +56,7 @@
             silent, deaf = chance.choice(((0.6, 0.8), (0.6, 6.0), (3.0, 6.0))[2 * self.split:])
             self.timing = Timing(
                 suspect=chance.choice((0.35, 0.55)), silent=silent, deaf=deaf,
-                replace=chance.choice((0.3, 2.5)[self.split:]), witness_extra=chance.choice((0.0, 0.2)))
+                replace=chance.choice((0.3, 2.5)[self.split:]), stagger=chance.choice((0.0, 0.15)))
         self.nemesis = Nemesis(self)
         self.clients = [Operator(self, "a"), Operator(self, "b"), Counter(self, "c"), Reader(self, "d"),
                         Reader(self, "e")]
