A world that fails tells what its processes and members said

The short play of the whole system failed once in some 80 runs on a busy machine while it waited for the third member's status, and nothing was left to tell why. A failure now carries each process's last lines and each member's status.

--- a/shedgrade/lab/system/launcher.py
+++ b/shedgrade/lab/system/launcher.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).resolve().parents[3]
 PROGRAMS = {True: "shedgrade.controlplane", False: "shedgrade.dataplane"}
-ENDS = 12.0         # s for a process to end by itself
+SAID = 1500         # characters of what a process wrote that are shown
 
 
 class Launcher:
@@ -30,6 +30,11 @@
     def log(self, name: str) -> Path:
         return self.folder / f"{name}.log"
 
+    def said(self, name: str) -> str:
+        """The end of what its processes wrote."""
+        log = self.log(name)
+        return log.read_text(errors="replace")[-SAID:] if log.exists() else ""
+
     async def start(self, name: str) -> None:
         """With the settings of this moment; the first time of all of them is the system's first start."""
         machine = self.machines[name]
--- a/shedgrade/lab/system/world.py
+++ b/shedgrade/lab/system/world.py
@@ -62,7 +62,14 @@
             raise
         return self
 
-    async def __aexit__(self, *failure) -> None:
+    async def __aexit__(self, kind, failure: BaseException | None, trace) -> None:
+        """What each process and member said goes with a failure, as its folder may be gone afterwards."""
+        if failure is not None:
+            for name in self.launcher.machines:
+                state = "runs" if self.launcher.running(name) else "does not run"
+                failure.add_note(f"{name} {state}: {self.launcher.said(name)}")
+            for status in await self.status():
+                failure.add_note(f"{status['node']}: {status}")
         await self.close()
 
     async def close(self) -> None:
--- a/tests/labsystem/test_system_launcher.py
+++ b/tests/labsystem/test_system_launcher.py
@@ -8,13 +8,14 @@
 
 from shedgrade.boot import reading
 from shedgrade.engines import EngineSettings
-from shedgrade.lab.system.demo import demo_site
+from shedgrade.lab.system.demo import KINDS, demo_site
 from shedgrade.lab.system.fleet import Fleet
 from shedgrade.lab.system.history import History
 from shedgrade.lab.system.launcher import Launcher
 from shedgrade.lab.system.lines import quantile
 from shedgrade.lab.system.platform import InstanceDirectory
 from shedgrade.lab.system.site import CORE, EDGE
+from shedgrade.lab.system.world import World
 
 
 def test_each_machine_has_its_own_address_and_settings_that_a_process_takes(tmp_path):
@@ -100,3 +101,17 @@
 
 def test_quantiles():
     assert [quantile([5.0, 1.0, 3.0, 2.0, 4.0], part) for part in (0.2, 0.5, 0.99)] == [1.0, 3.0, 5.0]
+
+
+def test_a_failure_tells_what_processes_said(tmp_path):
+    async def story():
+        async with World(demo_site(), tmp_path, [], {}, KINDS, 1) as world:
+            await said(world.launcher, "core-1", 8262)
+            await world.launcher.kill("core-2")
+            raise ValueError("a failure")
+    with pytest.raises(ValueError) as caught:
+        asyncio.run(story())
+    notes = caught.value.__notes__
+    assert any(note.startswith("core-1 runs") for note in notes)
+    assert any(note.startswith("core-2 does not run") for note in notes)
+    assert any(note.startswith("core-1: {'node': 'core-1'") for note in notes)
