--- a/shedgrade/dataplane/service.py
+++ b/shedgrade/dataplane/service.py
@@ -14,7 +14,7 @@
 
 QUIET = 4_000           # tenths of a ms without a word from an upstream that has work of ours
 AGAIN = 10_000          # tenths of a ms before one that was reached is tried again
-BEFORE = 5_000          # tenths of a ms before the return of one set aside at which it is tried: DIAL and more
+BEFORE = 5_000          # tenths of a ms before the return of one set aside: it is tried then, DIAL and more
 
 
 class Kept:
