A path of a test has a name that is no machine's

Cause: the check before a landing takes a route's prefix in the test of homes for a path of a machine.

--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -281,13 +281,13 @@
 def test_homes_are_kept_and_the_own_region_comes_first():
     async def play():
         east, west = Upstream("i-1", serve_all), Upstream("i-2", serve_all)
-        routes = configuration(route(), route(path_prefix="/home/", name="h", home_regions=["west"]))
+        routes = configuration(route(), route(path_prefix="/bound/", name="h", home_regions=["west"]))
         async with sidecar(routes, east, west, zones={"i-2": "z2"}) as plane:
             for number in range(3):
                 await answered(plane, request(name=f"a{number}"))
-                await answered(plane, request(path="/home/1", name=f"h{number}"))
+                await answered(plane, request(path="/bound/1", name=f"h{number}"))
         assert len(east.requests) == len(west.requests) == 3
-        assert all(came["first"].startswith("POST /home/") for came in west.requests)
+        assert all(came["first"].startswith("POST /bound/") for came in west.requests)
     run(play())
 
 
