A deaf candidate gives up sooner; names alone replace no living member

A leaving primary takes no new orders, a big write is acked on receipt so that it is not sent twice, and of two processes with one name only a silent one is replaced.

--- a/shedgrade/replication/ballot.py
+++ b/shedgrade/replication/ballot.py
@@ -109,6 +109,7 @@
         if self.phase != "promise" or number != self.number or held.promise != (number, held.incarnation):
             return
         self.phase, self.prepared = "prepare", now
+        self.ends = now + self.member.timing.deaf   # who is not heard leaves it to others
         self.promises[held.incarnation] = self.member.own_promise(number)
         self.ask_promises(now)
         self.choose(now)
--- a/shedgrade/replication/joining.py
+++ b/shedgrade/replication/joining.py
@@ -52,8 +52,10 @@
         for guest in guests:
             peer = Peer(guest.incarnation, guest.name, guest.address)
             for old in record.members:   # its disk was lost: the old incarnation will never speak again
+                known = lead.followers.get(old.incarnation)
+                silent = known is None or not lead.heard_lately(now, known)
                 if old.incarnation != member.held.incarnation and (
-                        old.address == guest.address or (old.name and old.name == guest.name)):
+                        old.address == guest.address or (silent and old.name and old.name == guest.name)):
                     return Change(record.number, old.incarnation, old.address, peer)
         for old in record.members:
             follower = lead.followers.get(old.incarnation)
--- a/shedgrade/replication/member.py
+++ b/shedgrade/replication/member.py
@@ -37,7 +37,7 @@
         for until, ticket, request, shipped, read in entries:
             if member.lead.active and shipped:   # deciding it again could refuse what was finished meanwhile
                 outcome = Unclear()
-            elif member.lead.active:
+            elif member.lead.active and not member.leaving:
                 member.lead.read(now, ticket) if read else member.lead.order(now, ticket, request)
                 continue
             elif member.hears_primary(now) and member.primary != member.address:
@@ -130,7 +130,7 @@
         self.now = now
         if len(self.lead.queue) + len(self.waiting.entries) >= self.QUEUE:
             self.effects.append(Answer(ticket, Unavailable()))
-        elif self.acts():
+        elif self.acts() and not self.leaving:
             self.lead.order(now, ticket, request)
         else:
             self.waiting.add(now, ticket, request)
--- a/shedgrade/replication/voting.py
+++ b/shedgrade/replication/voting.py
@@ -16,7 +16,9 @@
     Refusal,
     Replicate,
     Transfer,
+    size,
 )
+from .pieces import PIECE
 
 
 class Voting:
@@ -61,7 +63,7 @@
         number, candidate = prepare.number, prepare.incarnation
         member.highest = max(member.highest, number)
         if held.promise == (number, candidate):
-            if number > held.record.number or not held.record.active:
+            if prepare.record.number == number:
                 member.candidate_until = now + member.timing.quiet   # at work, perhaps on a long transfer
             if member.promised == number:
                 member.send(sender, member.own_promise(number))
@@ -126,6 +128,8 @@
             return
         if write.sequence == held.mark[1] + 1:
             held.write(now, write.sequence, write.changes, lambda at: self.ack(at, sender, write.epoch, 0))
+            if size(write.changes) > PIECE:   # dear to send again while the disk is at work
+                self.ack(now, sender, write.epoch, 0)
         else:   # a gap is filled by the primary, which hears what was received
             self.ack(now, sender, write.epoch, 0)
         self.finish(write.epoch, write.finished)
