--- a/shedgrade/simulation/operators.py
+++ b/shedgrade/simulation/operators.py
@@ -13,14 +13,17 @@
     def __init__(self, world, name: str):
         self.world, self.name = world, name
         self.current: Call | None = None
-        self.attempt = self.hops = 0
+        self.last = None
+        self.attempt = 0
         self.stopped = False
 
     def begin(self, request) -> None:
         self.current = Call(request, self.world.clock.now)
         self.world.history.calls.append(self.current)
         self.pause = 0.05
-        self.send(self.world.random.choice(self.world.reachable()))
+        machines = self.world.machines
+        stays = self.last in machines and self.world.random.random() < 0.6   # with whom answered last
+        self.send(self.last if stays else self.world.random.choice(machines))
 
     def send(self, machine, hops: int = 0) -> None:
         self.attempt += 1
@@ -50,11 +53,12 @@
             return self.retry(machine)
         call.ended, call.outcome, self.current = self.world.clock.now, outcome, None
         self.attempt += 1
+        self.last = machine
         self.done(call, machine)
 
     def retry(self, machine) -> None:
         self.attempt += 1
-        others = [each for each in self.world.reachable() if each is not machine] or [machine]
+        others = [each for each in self.world.machines if each is not machine] or [machine]
         self.pause = min(self.pause * 1.6, 0.5)
         attempt = self.attempt
         target = self.world.random.choice(others)
--- a/shedgrade/simulation/world.py
+++ b/shedgrade/simulation/world.py
@@ -56,6 +56,7 @@
             silent, deaf = chance.choice(((0.6, 0.8), (0.6, 6.0), (3.0, 6.0))[2 * self.split:])
             self.timing = Timing(
                 suspect=chance.choice((0.35, 0.55)), silent=silent, deaf=deaf,
+                write_patience=10.0 if self.split else 0.45,
                 replace=chance.choice((0.3, 2.5)[self.split:]), stagger=chance.choice((0.0, 0.15)))
         self.nemesis = Nemesis(self)
         self.clients = [Operator(self, "a"), Operator(self, "b"), Counter(self, "c"), Reader(self, "d"),
@@ -89,9 +90,6 @@
         if self.trace:
             print(f"{self.clock.now:8.3f} {what} {who}")
 
-    def reachable(self) -> list[Machine]:
-        return self.machines
-
     def acknowledged(self, machine: Machine, call) -> None:
         if self.on_ack is not None:
             call_back, self.on_ack = self.on_ack, None
