--- a/shedgrade/replication/ballot.py
+++ b/shedgrade/replication/ballot.py
@@ -1,5 +1,4 @@
-"""A candidate's way to a new epoch: pre-vote, own promise, prepare, fetch, install (Vertical Paxos'
-quorums)."""
+"""A candidate's way to a new epoch: pre-vote, own promise, prepare, fetch, install."""
 from __future__ import annotations
 
 import msgspec
@@ -55,8 +54,7 @@
         self.ask_pre_vote(now)
 
     def start(self, now: float, change=None, avoid: frozenset[int] = frozenset()) -> None:
-        """Raise the number. `change`: a pure function from members to new members; `avoid`: who should hold
-        nothing."""
+        """Raise the number. `change`: members to new members; `avoid`: who should hold nothing."""
         self.begin(now, "promise")
         member, held = self.member, self.member.held
         self.change, self.avoid = change, avoid
@@ -175,8 +173,7 @@
             self.fetch(now)
 
     def groups(self, base: EpochRecord, promises: list[Promise]) -> tuple[tuple[Peer, ...], tuple[Peer, ...]]:
-        """Members and those before of the new epoch. Members change only from an epoch that is known to be
-        active."""
+        """Members and those before. Members change only from an epoch that is known to be active."""
         known = dict(self.member.founders)
         known.update((each.address, each.incarnation) for each in promises if each.founding)
         members = tuple(peer if peer.incarnation else self.founder(peer, known) for peer in base.members)
--- a/shedgrade/replication/held.py
+++ b/shedgrade/replication/held.py
@@ -36,9 +36,8 @@
 
 class Held:
     """`promise`: (number, incarnation of the candidate). `accepted`: the epoch as whose holder the state
-    was taken;
-    0 for a witness. `unfinished`: states after the finished one, by mark. `durable` and `installed`: the
-    mark and the epoch that are synced."""
+    was taken; 0 for a witness. `unfinished`: states after the finished one, by mark. `durable` and
+    `installed`: the mark and the epoch that are synced."""
 
     def __init__(self, found, saving: Saving, effects: list, seeds: tuple[str, ...], founding: bool, random):
         found = found or {}
@@ -95,8 +94,7 @@
 
     def install(self, now: float, record: EpochRecord, mark: Mark, state: dict[str, bytes],
                 changes: Changes | None, done) -> None:
-        """Become a holder of the epoch with this state. `changes` lead there from the present state (None:
-        whole)."""
+        """Hold the epoch with this state. `changes` lead there from the present one (None: all)."""
         saved: Changes = {EPOCH: _encode(record), PLACE: _encode((record.number, mark))}
         if self.promise != (record.number, record.primary):
             self.promise = record.number, record.primary
--- a/shedgrade/replication/member.py
+++ b/shedgrade/replication/member.py
@@ -1,5 +1,4 @@
-"""One member of the control state: the parts put together. Sans I/O: time, chance and the disk's word are
-handed in."""
+"""One member of the control state: the parts put together. Sans I/O."""
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
@@ -7,7 +6,7 @@
 
 from . import messages as m
 from .ballot import Ballot
-from .effects import Answer, Decision, Elsewhere, Left, Send, State, Unavailable, Unclear
+from .effects import Answer, Decision, Left, Send, State, Unavailable, Unclear
 from .held import Held
 from .joining import Joining
 from .pieces import Pieces
@@ -15,52 +14,18 @@
 from .saving import Saving
 from .timing import Timing
 from .voting import Voting
+from .waiting import Waiting
 
 NEVER = float("-inf")
 
 
-class Waiting:
-    """Orders and reads that wait for a primary to be known."""
-
-    def __init__(self, member):
-        self.member = member
-        self.entries: list[tuple[float, int, object, bool, bool]] = []
-
-    def add(self, now: float, ticket: int, request, *, shipped: bool = False, read: bool = False) -> None:
-        self.entries.append((now + self.member.timing.hold, ticket, request, shipped, read))
-
-    def settle(self, now: float) -> None:
-        member = self.member
-        if not self.entries:
-            return
-        entries, self.entries = self.entries, []
-        for until, ticket, request, shipped, read in entries:
-            if member.lead.active and shipped:   # deciding it again could refuse what was finished meanwhile
-                outcome = Unclear()
-            elif member.lead.active and not member.leaving:
-                member.lead.read(now, ticket) if read else member.lead.order(now, ticket, request)
-                continue
-            elif member.hears_primary(now) and member.primary != member.address:
-                outcome = Elsewhere(member.primary)
-            elif member.is_hinted(now):
-                outcome = Elsewhere(member.primary_hint)
-            elif now >= until:
-                outcome = Unclear() if shipped else Unavailable()
-            else:
-                self.entries.append((until, ticket, request, shipped, read))
-                continue
-            member.effects.append(Answer(ticket, outcome))
-
-
 class Member:
     """A core process's part in the control state.
 
     `address` and `seeds` are link addresses; `found` holds the durable values of an earlier life (none:
-    empty disk);
-    `decide(state, request)` is pure and is called at the primary only. `effects` is drained by the caller
-    after each
-    call. Source: Harp (Liskov et al., 1991) with the quorums of Vertical Paxos (Lamport, Malkhi, Zhou,
-    2009)."""
+    empty disk); `decide(state, request)` is pure and is called at the primary only. `effects` is drained by
+    the caller after each call. Source: Harp (Liskov et al., 1991) with the quorums of Vertical Paxos
+    (Lamport, Malkhi, Zhou, 2009)."""
 
     PIPELINE, QUEUE = 16, 256
 
@@ -128,7 +93,7 @@
     def order(self, now: float, ticket: int, request: object) -> None:
         """Answered by Answer(ticket, ...): decide's outcome, Unavailable, Unclear or Elsewhere."""
         self.now = now
-        if len(self.lead.queue) + len(self.waiting.entries) >= self.QUEUE:
+        if self.gone or len(self.lead.queue) + len(self.waiting.entries) >= self.QUEUE:
             self.effects.append(Answer(ticket, Unavailable()))
         elif self.acts() and not self.leaving:
             self.lead.order(now, ticket, request)
@@ -139,7 +104,9 @@
     def read(self, now: float, ticket: int) -> None:
         """Answered by Answer(ticket, Reading), Unavailable or Elsewhere."""
         self.now = now
-        if self.lead.active:
+        if self.gone:
+            self.effects.append(Answer(ticket, Unavailable()))
+        elif self.lead.active:
             self.lead.read(now, ticket)
         else:
             self.waiting.add(now, ticket, None, read=True)
@@ -303,8 +270,7 @@
         self.stand_at = self.heard_at + timing.suspect + turn * timing.stagger
 
     def rank(self, who: int, address: str = "") -> tuple[int, int]:
-        """Whose turn it is to stand: backups first, in their order, then witnesses. One at a time splits no
-        vote."""
+        """Whose turn it is to stand: backups first, in their order, then witnesses."""
         record = self.held.record
         if not record.number:
             founders = sorted(self.held.founders or ())
--- a/shedgrade/replication/messages.py
+++ b/shedgrade/replication/messages.py
@@ -1,8 +1,8 @@
-"""What members say to one another, and the record of an epoch. All are msgspec Structs, tagged by their name.
+"""What members say to one another, and the record of an epoch. All are msgspec Structs, tagged by their
+name.
 
-A mark (epoch, sequence) names one change: the epoch that decided it and its place in the one chain.
-An incarnation is the number that a process draws with an empty disk; 0 is a founder that was not heard yet.
-"""
+A mark (epoch, sequence) names one change: the epoch that decided it and its place in the one chain. An
+incarnation is the number that a process draws with an empty disk; 0 is a founder that was not heard yet."""
 from __future__ import annotations
 
 from msgspec import Struct
@@ -20,8 +20,8 @@
 
 class EpochRecord(Struct, frozen=True, array_like=True):
     """`holders` and `primary` are incarnations. Until it is known that all holders have it (`active`), a
-    ballot
-    needs a majority of `members` and one of `before`: another epoch may have been made from those."""
+    ballot needs a majority of `members` and one of `before`: another epoch may have been made from
+    those."""
     number: int
     primary: int
     holders: tuple[int, ...]
@@ -198,8 +198,7 @@
 
 
 def matches(peer: Peer, incarnation: int, address: str, founding: bool) -> bool:
-    """Whether the voter is this member. A founder not heard yet is known by its address: its memory is
-    whole."""
+    """Whether the voter is this member. A founder, whose memory is whole, is known by its address too."""
     return peer.incarnation == incarnation or (not peer.incarnation and founding and peer.address == address)
 
 
--- a/shedgrade/replication/primary.py
+++ b/shedgrade/replication/primary.py
@@ -1,5 +1,4 @@
-"""The primary's part: decide, write to all holders of the epoch, confirm, tell the others what is
-finished."""
+"""The primary's part: decide, write to all holders of the epoch, confirm, tell what is finished."""
 from __future__ import annotations
 
 from collections import deque
@@ -111,8 +110,7 @@
 
     def acts(self, now: float) -> bool:
         """Fewer holders than may be lost and one keep nothing safe. Of fewer members than 2t + 1 no
-        majority may be
-        left: newcomers get a while to join before the first answer."""
+        majority may be left: newcomers get a while to join before the first answer."""
         return self.enough and (self.complete or now - self.incomplete_since >= self.member.timing.incomplete)
 
     def order(self, now: float, ticket: int, request) -> None:
@@ -311,8 +309,7 @@
         self.mend(now)
 
     def has_majority(self, now: float) -> bool:
-        """Whether a majority of the members was heard lately and has given its word to none after this
-        epoch."""
+        """Whether a majority of the members was heard lately and has promised nothing higher."""
         held = self.member.held
         heard = [f for i, f in self.followers.items() if held.names(i) and self.heard_lately(now, f)]
         return 1 + sum(f.promised <= self.epoch for f in heard) > len(held.record.members) // 2
--- a/shedgrade/replication/saving.py
+++ b/shedgrade/replication/saving.py
@@ -10,8 +10,7 @@
     """Queue before the disk. `done` callbacks run with the time, in order, once their changes are durable.
 
     One write at a time: of two open ones the second might succeed after the first was refused, and the disk
-    would
-    claim a place in the chain whose changes it lacks."""
+    would claim a place in the chain whose changes it lacks."""
 
     def __init__(self, effects: list, patience: float, retry: float):
         self.effects, self.patience, self.retry = effects, patience, retry
--- a/shedgrade/replication/voting.py
+++ b/shedgrade/replication/voting.py
@@ -31,8 +31,8 @@
     # --- candidates
 
     def prefers(self, now: float, candidate: int, sender: str) -> bool:
-        """One pre-vote at a time, or two candidates split the promises. Of two that ask each other the first
-        in the order wins."""
+        """One pre-vote at a time, or two candidates split the promises. Of two that ask each other the
+        first in the order wins."""
         member = self.member
         if member.ballot.phase == "prevote":
             own = member.rank(member.held.incarnation, member.address)
--- a/shedgrade/simulation/checkers.py
+++ b/shedgrade/simulation/checkers.py
@@ -18,8 +18,7 @@
 
 
 def one_chain(history) -> list[str]:
-    """All finished states, by mark, are prefixes of one chain in which each change is built on the one
-    before."""
+    """All finished states, by mark, are prefixes of one chain; each change is built on the one before."""
     wrong, last, counter = [], b"", 0
     for mark in sorted(history.states):
         taken, count = history.states[mark]
--- a/shedgrade/simulation/machine.py
+++ b/shedgrade/simulation/machine.py
@@ -1,5 +1,4 @@
-"""A simulated core machine: a member's process, its disk at the level of whole writes, power and process
-ends."""
+"""A simulated core machine: a member's process, its disk at the level of whole writes, its power."""
 from __future__ import annotations
 
 from random import Random
--- a/shedgrade/simulation/nemesis.py
+++ b/shedgrade/simulation/nemesis.py
@@ -5,8 +5,7 @@
 
 
 class Nemesis(Troubles):
-    """In the profile "fair" at most `tolerated` machines are lost at once, each until CATCH_UP after its
-    return."""
+    """In "fair" at most `tolerated` machines are lost at once, each until CATCH_UP after its return."""
 
     FAIR = ("node_kill", "power_off", "wipe", "after_ack_kill", "after_ack_wipe", "freeze", "disk_full",
             "disk_stall", "disk_slow", "link_slow", "core_cut", "core_cut_one_way", "link_cut", "region_cut",
--- a/shedgrade/simulation/register.py
+++ b/shedgrade/simulation/register.py
@@ -1,4 +1,5 @@
-"""What the simulated operators change: a configuration under compare-and-set, and a counter that only grows.
+"""What the simulated operators change: a configuration under compare-and-set, and a counter that only
+grows.
 
 The state's `taken` is the whole chain of changes, one line each: "base version payload"."""
 from __future__ import annotations
--- a/shedgrade/simulation/world.py
+++ b/shedgrade/simulation/world.py
@@ -20,9 +20,8 @@
     them seeds.
 
     `profile`: "fair" keeps losses within what is tolerated and checks times; "storm" cuts and kills without
-    bound,
-    wipes nothing, and checks safety only; "calm" has no troubles; in "deaths" the primary dies again and
-    again."""
+    bound, wipes nothing, and checks safety only; "calm" has no troubles; in "deaths" the primary dies again
+    and again."""
 
     def __init__(self, seed: int, tolerated: int = 1, profile: str = "fair", member_class=Member,
                  length: float = 20.0, trace: bool = False):
