Edges that are told to end make haste, half of a region before the other

An edge now takes all that comes for 2.8 s (0.5 s where others of its region that leave take its clients), then only what ends no later than what it has in hand may end, and ends when idle.

--- a/shedgrade/controlplane/delivery.py
+++ b/shedgrade/controlplane/delivery.py
@@ -14,6 +14,7 @@
     CLOSED,
     LEAVING,
     NEVER,
+    READY,
     Ask,
     ControlChange,
     EdgeHeard,
@@ -36,7 +37,7 @@
 LEFT = 10.0             # s in which the word of an edge that leaves goes before what others heard earlier
 
 
-Covers = Callable[[EdgeState, tuple[EdgeSeen, ...]], bool]
+Cover = Callable[[EdgeState, tuple[EdgeSeen, ...]], str]
 
 
 class PendingWatch:
@@ -77,11 +78,11 @@
     """Answers the asks of edges from what this core member knows."""
 
     def __init__(self, own: str, now: float, *, exchange: float = 0.5,
-                 covers: Covers = lambda edge, others: True) -> None:
+                 cover: Cover = lambda edge, others: READY) -> None:
         """`own`: this member's link address. `exchange`: s between two words of another member on its edges;
-        so much later they may be known here. `covers(edge, others)`: whether others take all that clients
-        would bring to an edge that leaves."""
-        self.covers = covers
+        so much later they may be known here. `cover(edge, others)`: who takes the clients of an edge that
+        leaves, as `Told` says it."""
+        self.cover = cover
         self.own, self.now, self.exchange = own, now, exchange
         self.addresses: tuple[str, ...] = ()        # of the core members
         self.own_version = 0                        # grows when an edge heard here changed what it is
@@ -203,7 +204,7 @@
             NEVER if lacks else max(0.0, now - self.confirmed_at),
             NEVER if self.list is None else self.list.age_s(now), now - parked.at,
             None if self.ledger is None else self.ledger.since(*ask.record),
-            ask.edge.state != LEAVING or self.covers(ask.edge, self.edges(now))))
+            self.cover(ask.edge, self.edges(now)) if ask.edge.state == LEAVING else READY))
 
     # --- the directory of edges
 
--- a/shedgrade/controlplane/directory.py
+++ b/shedgrade/controlplane/directory.py
@@ -12,7 +12,7 @@
 from shedgrade.controlplane.home_regions import ANYWHERE, Regions
 from shedgrade.findings import Finding
 from shedgrade.httpd import Reply, Request, failure
-from shedgrade.knowledge import EdgeSeen, EdgeState
+from shedgrade.knowledge import LEAVING, NOBODY, READY, EdgeSeen, EdgeState
 from shedgrade.matching.calls import CallTree, Match, NotAllowed
 
 MOST = 64               # addresses that an answer may hold
@@ -67,8 +67,8 @@
     def nearest(region: str, zone: str, edges: Iterable[EdgeSeen], homes: Callable[[], Regions]
                 ) -> list[EdgeSeen]:
         """The ready edges of the client's zone; with fewer than two there, all of its region; with none
-        there, all of the regions where else it may be sent. Where none is ready, those that leave and still
-        take requests, in the same order, the ones that leave last; none where there are none either.
+        there, all of the regions where else it may be sent. Where none is ready, those that leave last, in
+        the same order; none where there are none either.
 
         Guards against what is known here being only a part: an answer from few edges may be poor, but it
         never names a region that a home of the host rules out.
@@ -82,10 +82,10 @@
         if near:
             return near
         elsewhere = homes()
-        leaving = [edge for edge in there if edge.leaving]
+        last = last_to_leave(there)
         return (admissible(ready, elsewhere)
-                or newest([edge for edge in leaving if edge.zone == zone or edge.region == region])
-                or newest(admissible(leaving, elsewhere)))
+                or [edge for edge in last if edge.zone == zone or edge.region == region]
+                or admissible(last, elsewhere))
 
 
 def admissible(edges: list[EdgeSeen], regions: Regions) -> list[EdgeSeen]:
@@ -93,17 +93,31 @@
     return edges if regions is ANYWHERE else [edge for edge in edges if edge.region in regions]
 
 
-def newest(leaving: list[EdgeSeen]) -> list[EdgeSeen]:
-    """Those told to end last: they take what is longer. All that were told about then, so that one that has
-    died meanwhile has an alternative."""
-    since = max((edge.ending_since for edge in leaving), default=0.0)
-    return [edge for edge in leaving if since - edge.ending_since <= TOGETHER]
-
-
-def covers(edge: EdgeState, others: Iterable[EdgeSeen], homes: Mapping[str, Regions]) -> bool:
-    """Whether every client that may be sent to `edge` has a ready edge among the others. `homes`: by host."""
+def last_to_leave(edges: Iterable[EdgeSeen]) -> list[EdgeSeen]:
+    """Of each region's edges that leave, those that take requests to the last. Whoever was told to end
+    earlier goes first; of those that were told together half go first, so that they are back while the others
+    still take what comes."""
+    by_region: dict[str, list[EdgeSeen]] = {}
+    for edge in edges:
+        if edge.leaving:
+            by_region.setdefault(edge.region, []).append(edge)
+    last = []
+    for leaving in by_region.values():
+        since = max(edge.ending_since for edge in leaving)
+        together = sorted((edge for edge in leaving if since - edge.ending_since <= TOGETHER),
+                          key=lambda edge: edge.name)
+        last += together[len(together) // 2:]
+    return last
+
+
+def cover(edge: EdgeState, others: Iterable[EdgeSeen], homes: Mapping[str, Regions]) -> str:
+    """Who takes the clients of an edge that leaves: READY edges, others of its region that are LEAVING after
+    it, or NOBODY. `homes`: by host."""
+    others = [other for other in others if other.front]
     ready = {other.region for other in others if other.ready and other.name != edge.name}
-    if edge.region in ready or not homes:
-        return edge.region in ready
-    return all(bool(ready) if regions is ANYWHERE else not ready.isdisjoint(regions)
-               for regions in homes.values())
+    elsewhere = bool(homes) and all(bool(ready) if regions is ANYWHERE else not ready.isdisjoint(regions)
+                                    for regions in homes.values())
+    if edge.region in ready or elsewhere:
+        return READY
+    last = [other.name for other in last_to_leave(others) if other.region == edge.region]
+    return NOBODY if edge.name in last or not last else LEAVING
--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -14,7 +14,7 @@
 from shedgrade.controlplane import duties as duty
 from shedgrade.controlplane.channels import DUTIES, KNOWLEDGE, ORDERS, REPLICATION
 from shedgrade.controlplane.delivery import WatchHub
-from shedgrade.controlplane.directory import Directory, covers
+from shedgrade.controlplane.directory import Directory, cover
 from shedgrade.controlplane.disk import Disk
 from shedgrade.controlplane.home_regions import HomeRegions, Regions
 from shedgrade.controlplane.operators import Operators
@@ -100,7 +100,7 @@
         self.poller = Poller(loop, settings.cloud_api, self.instances, self.polled, random=random)
         self.duties = duty.Duties(own, self.member_addresses, random, now, duties=(LIST,),
                                   floor=int(wall_clock() * 10))
-        self.hub = WatchHub(own, now, exchange=SPREAD, covers=self.covered)
+        self.hub = WatchHub(own, now, exchange=SPREAD, cover=self.cover)
         self.reach = Reach(own, settings.region)
         self.standstill = Standstill(now)
         self.recording = Recording(self.hub, random.getrandbits(40) + 1, founding, self.tell_knowledge)
@@ -386,9 +386,9 @@
         """Where else than in their own region clients of a host may be sent."""
         return self.home_regions.of(self.hub.configuration, host)
 
-    def covered(self, edge: EdgeState, others: tuple[EdgeSeen, ...]) -> bool:
-        """Other edges take all that clients would bring to one that leaves."""
-        return covers(edge, others, self.home_regions.all(self.hub.configuration))
+    def cover(self, edge: EdgeState, others: tuple[EdgeSeen, ...]) -> str:
+        """Who takes the clients of an edge that leaves."""
+        return cover(edge, others, self.home_regions.all(self.hub.configuration))
 
     def served_here(self) -> set[str]:
         """Services with a ready upstream in the own region."""
--- a/shedgrade/dataplane/front.py
+++ b/shedgrade/dataplane/front.py
@@ -26,9 +26,9 @@
     def limits(self) -> Limits:
         return self.plane.routes.limits if self.plane.routes is not None else Limits()
 
-    def takes(self, expected_s: float) -> bool:
+    def takes(self, longest_s: float) -> bool:
         """Whether a request is taken that may need so long; not all are by a process that ends."""
-        return self.plane.takes(expected_s)
+        return self.plane.takes(longest_s)
 
     def service_of(self, route: ServedRoute):
         return self.plane.services.get(route.service(self.random)) if route.services else None
@@ -36,7 +36,7 @@
     def come_back(self) -> int:
         """Tenths of a ms after which a refused client is to try again: elsewhere, or here once the machine
         serves again, where nobody else does."""
-        return int((self.random.uniform(*BACK) + (self.plane.returns_in() or 0.0)) * 10_000)
+        return int((self.random.uniform(*BACK) + self.plane.returns_in()) * 10_000)
 
 
 class Pools:
--- a/shedgrade/dataplane/ingress.py
+++ b/shedgrade/dataplane/ingress.py
@@ -1,8 +1,7 @@
 """The clients' side of the data plane: requests come in, are given a route, and are answered once."""
 from shedgrade.configuration import Limits
-from shedgrade.dataplane.exchange import Exchange
+from shedgrade.dataplane.exchange import TICKS, Exchange
 from shedgrade.dataplane.routes import ServedRoute, shared_parts, token_usage
-from shedgrade.dataplane.service import ServicePool
 from shedgrade.dataplane.streams import ResumableStream
 from shedgrade.memory.flow import SMALL, Flow
 from shedgrade.memory.in_hand import Answer, Request
@@ -15,7 +14,6 @@
 LEAST_LEFT = 50         # ms: with less left no further leg of a stream is worth its upstream's work
 LONGEST_WAIT = 86_400_000
 LEAST_HEAD = 1024       # bytes of a head that are taken whatever the configuration says
-TICKS = 10_000          # of the clock, a second
 EVENT_END = b"\n\n"
 LIMIT_SLACK = 0.5       # s beyond a configured time-out, for what is under way
 
@@ -90,13 +88,16 @@
         if service is None or not front.room_for(len(request)):
             self.exhausted(front.come_back())
             return
-        if not front.takes(min(wait / 1000, longest(route, service, known))):
+        usage = token_usage(known.get(b"token-usage"))
+        if front.leaving() and not front.takes(
+                min(wait / 1000, service.times.longest(route.streams, usage))):
             self.unready()
             return
         client = ResumableStream(self, front.budget, self.resume) if route.resumable else self
         until = front.clock.now() + wait * 10
         self.carried = carried = self.failed = Exchange(
-            client, request, service, wants_of(route, known), route.streams, route.priority, until)
+            client, request, service, wants_of(route, known, usage[0]), route.streams, route.priority, until,
+            usage)
         if request.flow is not None:
             request.flow.lost = lambda: service.turn.came(carried, False, not carried.coming)
         service.turn.arrived(carried, route.method, wait, False)
@@ -128,7 +129,7 @@
                       wants.tokens, wants.shared)
         leg = Exchange(before.client,
                        Request(request.name, request.verb, request.target, headers, request.body),
-                       before.service, again, True, before.priority, before.until)
+                       before.service, again, True, before.priority, before.until, before.usage)
         self.carried = self.failed = leg
         before.service.turn.arrived(leg, IDEMPOTENT, left, False)
         return True
@@ -166,18 +167,12 @@
                            self.events, exchange.wants.tokens)
 
 
-def wants_of(route: ServedRoute, known: dict[bytes, bytes]) -> Wants:
-    """What a route and a request's headers, by name in lower case, ask of the choice of an upstream."""
+def wants_of(route: ServedRoute, known: dict[bytes, bytes], tokens: int) -> Wants:
+    """What a route and a request's headers, by name in lower case, ask of the choice of an upstream;
+    `tokens`: of its prompt."""
     key, shared = shared_parts(known.get(b"prompt-prefix")) if route.route.session_affinity else (b"", 0)
     return Wants(route.homes, key, route.most, route.target,
-                 tokens=token_usage(known.get(b"token-usage"))[0], shared=shared)
-
-
-def longest(route: ServedRoute, service: ServicePool, known: dict[bytes, bytes]) -> float:
-    """s that a request may take at the most, by what its service's took lately; infinity if not known."""
-    if not route.streams:
-        return service.times.longest_answer()
-    return service.times.longest_stream(*token_usage(known.get(b"token-usage")))
+                 tokens=tokens, shared=shared)
 
 
 def told_wait(header: bytes | None, route: ServedRoute) -> int | None:
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -11,13 +11,14 @@
 from shedgrade.clock import Clock
 from shedgrade.dataplane.asking import OLD_WORD, AskTo, Watcher
 from shedgrade.dataplane.draining import Drain
+from shedgrade.dataplane.exchange import TICKS
 from shedgrade.dataplane.front import IngressFront
 from shedgrade.dataplane.ingress import IngressConnection
 from shedgrade.dataplane.service import ServicePool
 from shedgrade.dataplane.state import State
 from shedgrade.faults import fault
 from shedgrade.httpd import HttpServer, Reply
-from shedgrade.knowledge import CLOSED, LEAVING, READY, STARTING, EdgeState, Told
+from shedgrade.knowledge import CLOSED, LEAVING, NOBODY, READY, STARTING, EdgeState, Told
 from shedgrade.link.address import join
 from shedgrade.link.peer import LinkError
 from shedgrade.link.tcp import Links
@@ -37,6 +38,7 @@
 SILENT = 1.0            # s without a word of any core member beyond which gossip's are asked too
 LOOK_AFTER = 0.25       # s between two looks at clients' connections
 LOOK = 0.05             # s between two looks at whether all is answered
+LAST_WORD = 0.06        # s for what was said last to leave
 
 
 class DataPlane:
@@ -83,13 +85,23 @@
     def leaving(self) -> bool:
         return self.drain is not None
 
-    def takes(self, expected_s: float) -> bool:
+    def takes(self, longest_s: float) -> bool:
         """Whether a request is taken that may need so long (s)."""
-        return self.drain is None or self.drain.takes(self.loop.time(), expected_s)
+        return self.drain is None or self.drain.takes(self.loop.time(), longest_s, self.in_hand_until())
 
-    def returns_in(self) -> float | None:
-        """s until somebody serves what is refused here; None: others do already."""
-        return None if self.drain is None else self.drain.returns_in(self.loop.time())
+    def returns_in(self) -> float:
+        """s until somebody serves what is refused here; 0: others do already."""
+        return 0.0 if self.drain is None else self.drain.returns_in(self.loop.time(), self.in_hand_until())
+
+    def in_hand_until(self) -> float:
+        """When all that is in hand has been answered, at the latest, on the loop's clock."""
+        now = self.clock.now()
+        latest = max((carried.may_last_until() for carried in self.in_hand()), default=now)
+        return self.loop.time() + max(0.0, latest - now) / TICKS
+
+    def in_hand(self) -> list:
+        """The exchanges that are not answered, of all services."""
+        return [carried for pool in self.services.values() for carried in pool.turn.in_hand.carried]
 
     def make_pool(self, name: str, repeats: Repeats) -> ServicePool:
         settings = self.settings
@@ -116,6 +128,7 @@
         self.look_after()
         await self.done.wait()
         self.listener.close()
+        await asyncio.sleep(LAST_WORD)
         self.gossip.close()
         self.links.close()
         self.readiness.close()
@@ -128,35 +141,38 @@
         if self.drain is not None:
             return
         now = self.loop.time()
-        self.drain = Drain(now, self.settings.bounds["graceS"], self.state.ready())
-        logger.info("SIGTERM: ends once no client needs this edge, at {} s", self.settings.bounds["graceS"])
+        self.drain = Drain(now, self.settings.bounds["graceS"])
+        logger.info("SIGTERM: ends when all is answered, within {} s", self.settings.bounds["graceS"])
         self.restate()
         self.loop.call_at(self.drain.ends_in_hand_at, self.conclude)
-        self.loop.call_at(self.drain.ends_at, self.done.set)
+        self.loop.call_at(self.drain.ends_at, self.finish)
         self.look_at_end()
 
     def look_at_end(self) -> None:
-        """Ends the process once nobody needs it and all that was taken has been answered."""
+        """Ends the process once all that was taken has been answered."""
         now = self.loop.time()
         if self.drain.may_end(now):
             self.front.close_idle()
             if not self.busy():
-                self.done.set()
-        if self.edge_state() != self.asker.edge:
-            self.restate()
+                self.finish()
         if not self.done.is_set():
             self.loop.call_later(LOOK, self.look_at_end)
 
+    def finish(self) -> None:
+        """The process ends, and the directory is told."""
+        if not self.done.is_set():
+            self.done.set()
+            self.restate()
+
     def busy(self) -> bool:
         """Clients are connected, or waiting to be, or requests are in hand."""
-        return bool(self.front.clients or self.listener.waiting()
-                    or any(len(pool.turn.in_hand) for pool in self.services.values()))
+        return bool(self.front.clients or self.listener.waiting() or self.in_hand())
 
     def conclude(self) -> None:
         """Whatever is in hand gets its final answer while that can still leave."""
-        in_hand = sum(len(pool.turn.in_hand) for pool in self.services.values())
+        in_hand = self.in_hand()
         if in_hand:
-            logger.warning("{} requests are cut at the end", in_hand)
+            logger.warning("{} requests are cut at the end", len(in_hand))
         for pool in self.services.values():
             pool.turn.conclude()
 
@@ -209,7 +225,7 @@
     def stage(self) -> str:
         """Of this process's life, as the directory is told."""
         if self.drain is not None:
-            return CLOSED if self.done.is_set() or self.drain.closed(self.loop.time()) else LEAVING
+            return CLOSED if self.done.is_set() else LEAVING
         return READY if self.state.ready() else STARTING
 
     def ask(self) -> None:
@@ -253,7 +269,7 @@
             if not beside:
                 self.record.told(self.loop.time(), told.fresh_s < OLD_WORD, told.record)
             if self.drain is not None:
-                self.drain.told(self.loop.time(), told.covered and ask.edge.stage > 0)
+                self.drain.told(self.loop.time(), told.cover if ask.edge.stage else NOBODY)
             self.asker.answered(self.loop.time(), effect.address, told, effect.number)
         else:
             self.record.lost(reads)
--- a/shedgrade/dataplane/service_times.py
+++ b/shedgrade/dataplane/service_times.py
@@ -31,6 +31,10 @@
         if events > 1:
             self.paces.append(rest_s / (events - 1))
 
+    def longest(self, streams: bool, usage: tuple[int, int]) -> float:
+        """For a request, a stream or not; `usage`: tokens of its prompt, and of its answer at the most."""
+        return self.longest_stream(*usage) if streams else self.longest_answer()
+
     def longest_answer(self) -> float:
         """For a request that is no stream; infinity where too little is known."""
         return MARGIN * max(self.answers) if len(self.answers) >= ENOUGH else inf
--- a/shedgrade/knowledge.py
+++ b/shedgrade/knowledge.py
@@ -16,6 +16,7 @@
 STARTING, READY = "starting", "ready"
 LEAVING = "leaving"     # told to end; still takes what no other edge can
 CLOSED = "closed"       # told to end; takes nothing more
+NOBODY = "nobody"       # takes over the clients of an edge that leaves
 STAGES = {LEAVING: 1, CLOSED: 2}        # of an edge's end, each final within a life; 0: none has begun
 
 
@@ -152,8 +153,8 @@
     """The answer. `edges`: how many edges are known alive; `members`: link addresses of core members;
     `upstreams`: what is newer, or that what the asker holds is still it, or None if neither is known;
     `fresh_s`: since this member heard the primary; `age_s`: of its list; `held_s`: the ask waited so long.
-    `record`: what was read since, None if nothing was or this member's record is not true. `covered`: other
-    edges take all that clients would bring to the asking one; asked of edges that leave only."""
+    `record`: what was read since, None if nothing was or this member's record is not true. `cover`: who
+    takes the clients of an asking edge that leaves: READY edges, others that are LEAVING later, or NOBODY."""
 
     control: ControlChange | None
     upstreams: ListMoved | None
@@ -163,7 +164,7 @@
     age_s: float
     held_s: float = 0.0
     record: RecordMoved | None = None
-    covered: bool = True
+    cover: str = READY
 
 
 class Counts(msgspec.Struct, frozen=True):
