--- a/shedgrade/simulation/system/day.py
+++ b/shedgrade/simulation/system/day.py
@@ -9,7 +9,8 @@
 from shedgrade.simulation.system.schedule import FaultSchedule
 from shedgrade.simulation.system.world import Shape, SystemWorld
 
-PROFILES = ("calm", "fair", "storm")
+PROFILES = ("calm", "fair", "planned", "storm")
+HOMES = ("region-1", "region-2")    # of one route, in days with planned stops
 SETTLED = 9.0           # s after the last fault in which orders go on
 LAST_CALLS = 15.0       # s after which every call has its answer, at the latest
 LEARNT = 3.0            # s after the last answer in which edges learn it
@@ -25,7 +26,8 @@
     if padding > 100 * KILOBYTE and 0.0 < bandwidth < 100 * MEGABIT:
         bandwidth = 100.0 * MEGABIT     # each change is sent to every member and edge
     window = 4096 if padding > 100 * KILOBYTE else random.choice((128, 512, 4096))
-    return Shape(
+    looked_up = {"edges": 6, "clients": 6, "homes": HOMES} if profile == "planned" else {}
+    return replace(Shape(
         tolerated=tolerated, length=length, edges=random.choice((2, 3)),
         operators=random.choice((1, 2, 2, 3) if padding <= 100 * KILOBYTE else (1, 2)),
         at_once=random.choice((3, 4, 8)) if padding <= 100 * KILOBYTE else 3,
@@ -34,7 +36,7 @@
         disk_latency=random.choice((0.001, 0.005, 0.02)),
         pace=random.choice((0.1, 0.4, 1.0)) if padding < 100 * KILOBYTE else 2.0,
         answers_lost=random.choice((0.0, 0.0, 0.1, 0.4, 0.7)),
-        datagram_loss=random.choice((0.0, 0.02, 0.2)))
+        datagram_loss=random.choice((0.0, 0.02, 0.2))), **looked_up)
 
 
 class Day:
@@ -63,6 +65,8 @@
             world.run(length + SETTLED)
             for operator in world.operators:
                 operator.stopped, operator.caller.answers_lost = True, 0.0
+            for client in world.clients:
+                client.stopped = True
             until = length + SETTLED + LAST_CALLS
             while world.time.now < until and not all(one.finished for one in world.operators):
                 world.run(world.time.now + 0.5)
--- a/tests/simulation/planted_system_faults.py
+++ b/tests/simulation/planted_system_faults.py
@@ -2,7 +2,7 @@
 import msgspec
 from faulty_members import AnswersAfterOwnDiskOnly
 
-from shedgrade.controlplane import duties, orders, plane
+from shedgrade.controlplane import delivery, directory, duties, home_regions, orders, plane
 from shedgrade.controlplane.accepted import Past
 from shedgrade.controlplane.delivery import PendingWatch, WatchHub
 from shedgrade.controlplane.ordering import Ordering, ZoneSubmission
@@ -16,6 +16,26 @@
     monkeypatch.setattr(orders.accepted, "past", lambda state, version, raw: Past.NEVER_ACCEPTED)
 
 
+def any_region_where_no_home_is_ready(monkeypatch):
+    """The directory names all ready edges where neither the client's region nor a home has one."""
+    def admissible(edges, regions):
+        return [edge for edge in edges if regions is not None and edge.region in regions] or edges
+    monkeypatch.setattr(directory, "admissible", admissible)
+
+
+def unknown_hosts_have_no_homes(monkeypatch):
+    """A member that knows no configuration takes every host for one that is served anywhere."""
+    monkeypatch.setattr(home_regions, "NOWHERE_ELSE", home_regions.ANYWHERE)
+
+
+def edges_are_listed_for_ever(monkeypatch):
+    """Whoever was ready once is named, also long after it has ended."""
+    monkeypatch.setattr(delivery, "UNHEARD", 1e9)
+    monkeypatch.setattr(delivery, "FORGOTTEN", 1e9)
+    monkeypatch.setattr(delivery, "CLOSED", "")
+    monkeypatch.setattr(WatchHub, "gone", lambda self, name: self.parked.pop(name, None))
+
+
 def reads_without_confirmation(monkeypatch):
     """A read is answered from the member's own memory."""
     class Unconfirmed(Ordering):
--- /dev/null
+++ b/tests/simulation/test_fleet_count.py
@@ -0,0 +1,28 @@
+"""The count by which edges deal the fleet's budgets, in the simulated system, as everything starts anew."""
+
+import pytest
+
+from shedgrade.simulation.system.script import Script
+
+EDGES = 6
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_after_a_start_of_everything_no_edge_deals_by_fewer_edges_than_there_are(seed):
+    """Every member and every edge has forgotten the others: who hears of one edge may not take it for all."""
+    script = Script(seed=seed, edges=EDGES)
+    script.until_ready()
+    script.run(2.0)
+    random, world = script.world.random, script.world
+    script.faults.all_killed([*world.cores, *world.edges], lambda: random.uniform(0.1, 0.6))
+    counts = []
+    for _ in range(120):
+        script.run(0.05)
+        counts += [
+            (round(world.time.now, 2), machine.name, machine.program.state.sidecars)
+            for machine in world.edges
+            if machine.program is not None and machine.program.ready()
+        ]
+    assert len(counts) > EDGES * 60
+    assert [count for count in counts if count[2] < EDGES] == []
+    assert script.findings() == []
--- a/tests/simulation/test_system_faults.py
+++ b/tests/simulation/test_system_faults.py
@@ -14,6 +14,7 @@
     (planted.a_lease_longer_than_its_votes_hold, "fair", 10, "two hold the duty", {}),
     (planted.one_copy_is_enough, "fair", 60, "is followed by", SLOW),
     (planted.edges_take_older_states, "fair", 5, "goes back", {}),
+    (planted.any_region_where_no_home_is_ready, "planned", 3, "region-1 to region-3", {}),
 ]
 
 
