--- a/shedgrade/simulation/system/sockets.py
+++ b/shedgrade/simulation/system/sockets.py
@@ -6,9 +6,12 @@
 """
 from __future__ import annotations
 
+import errno
 import importlib
+import os
 import select
 import socket
+import termios
 from asyncio import events
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -70,6 +73,8 @@
     def register(self, handle: SimulatedSocket | int, events: int) -> None:
         if isinstance(handle, int):
             handle = running_loop().network.sockets.get(handle)
+        elif handle.fileno() < 0:
+            raise ValueError("file descriptor cannot be a negative integer (-1)")
         if handle is not None:
             self.handles.append(handle)
 
@@ -84,6 +89,19 @@
     poll = Poll
 
 
+class FcntlModule:
+    """Stands for `fcntl`: how many bytes of a connection its kernel holds."""
+
+    @staticmethod
+    def ioctl(descriptor: int, request: int, buffer: bytes) -> bytes:
+        handle = running_loop().network.sockets.get(descriptor)
+        if handle is None or handle.endpoint is None:
+            raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+        held = {termios.FIONREAD: handle.endpoint.incoming.unread_bytes,
+                termios.TIOCOUTQ: handle.endpoint.out.outstanding()}
+        return held[request].to_bytes(len(buffer), "little")
+
+
 class NoCollector:
     """Stands for `gc` in programs that collect once at their start: one interpreter holds them all."""
 
@@ -111,6 +129,7 @@
 REPLACED = (
     ("shedgrade.link.tcp", "socket", SocketModule()), ("shedgrade.link.udp", "socket", SocketModule()),
     ("shedgrade.wire.application", "socket", SocketModule()),
+    ("shedgrade.wire.application", "fcntl", FcntlModule()),
     ("shedgrade.wire.connection", "socket", SocketModule()),
     ("shedgrade.wire.listener", "socket", SocketModule()),
     ("shedgrade.wire.application", "select", SelectModule()),
--- /dev/null
+++ b/tests/simulation/test_edge_ends.py
@@ -0,0 +1,47 @@
+"""An edge that is told to end, in the simulated system: it ends once what it has in hand is answered."""
+
+import pytest
+
+from shedgrade.simulation.system.caller import ResponseReader
+from shedgrade.simulation.system.script import Script
+from shedgrade.simulation.system.world import FRONT
+
+GRACE = 8.0  # s from SIGTERM to SIGKILL
+TAKES_ALL = 3.0  # s after SIGTERM in which all that comes is taken, a little more
+
+
+def half_a_request(script, edge, held_s):
+    """A client's connection that has sent a part of a head, and ends after so many seconds."""
+    loop = script.operator.loop
+
+    async def send():
+        transport, _ = await loop.create_connection(lambda: ResponseReader(loop), edge.host.ip, FRONT)
+        transport.write(b"POST /a/ HTTP/1.1\r\nHost: rota.example\r\n")
+        loop.call_later(held_s, transport.close)
+
+    script.keep(loop.create_task(send()))
+
+
+@pytest.mark.parametrize("held_s", [0.3, 1.0, 2.0])
+def test_a_client_that_is_there_at_the_first_look_does_not_keep_an_edge_to_the_end_of_the_grace(held_s):
+    """The incident of HOME: the look at the end broke off once its listener was closed beside a client that
+    was still there, and the machine was away for seven seconds for nothing."""
+    script = Script(seed=1, edges=4)
+    script.until_ready()
+    script.run(1.0)
+    edge = script.world.edges[0]
+    script.faults.terminate(edge, GRACE)
+    script.run(2.4)
+    half_a_request(script, edge, held_s)
+    assert script.run_until(lambda: not edge.running, TAKES_ALL - 2.4 + held_s + 0.5)
+    assert script.findings() == []
+
+
+def test_an_edge_that_nobody_asks_ends_as_soon_as_others_have_its_clients():
+    script = Script(seed=2, edges=4)
+    script.until_ready()
+    script.run(1.0)
+    edge = script.world.edges[0]
+    script.faults.terminate(edge, GRACE)
+    assert script.run_until(lambda: not edge.running, TAKES_ALL + 0.3)
+    assert script.findings() == []
