--- a/shedgrade/lab/system/history.py
+++ b/shedgrade/lab/system/history.py
@@ -129,7 +129,8 @@
 @dataclass(slots=True)
 class History:
     """`troubles`: (from, to, what): times in which rules bound by time do not hold; `drained`: by instance,
-    when the list first showed it leaving; `read_back`: the configuration at the end, None: none came."""
+    when the list first showed it leaving; `read_back`: the configuration at the end, None: none came;
+    `edge_regions`: by the address at which clients reach an edge."""
 
     requests: list[Asked] = field(default_factory=list)
     tries: dict[str, Try] = field(default_factory=dict)
@@ -140,6 +141,7 @@
     stray: list[str] = field(default_factory=list)
     read_back: bytes | None = None
     evacuated_at_end: tuple[str, ...] | None = None
+    edge_regions: dict[str, str] = field(default_factory=dict)
 
     def calm(self, start: float, end: float) -> bool:
         """No trouble touches the span."""
--- a/shedgrade/lab/system/judge.py
+++ b/shedgrade/lab/system/judge.py
@@ -11,6 +11,7 @@
 from shedgrade.lab.system.orders import Configurations
 
 PROMISES = frozenset((408, 421, 429, 503))
+LED_ABROAD = 0.05       # of the requests with homes; beyond it those that the directory led elsewhere count
 
 
 def judge(told: History, key: bytes, zones: dict[str, str], bounds: dict[str, float], *,
@@ -25,6 +26,7 @@
         found += answer(one, runs[one.attempt], key)
         found += promises(one, runs[one.attempt])
     found += arrivals(told, zones)
+    found += led_abroad(told)
     found += evacuated(told, bounds)
     found += drained(told, bounds)
     found += retries(told, bounds)
@@ -112,6 +114,16 @@
             yield Breach("HOME", f"{one.kind.name} {run.attempt} arrived in {zones[run.zone]}, not at home")
 
 
+def led_abroad(told: History) -> Iterator[Breach]:
+    """The directory sends clients to machines at home, or in their own region."""
+    bound = [one for one in told.tries.values() if one.kind.homes and one.sidecar in told.edge_regions]
+    abroad = [one for one in bound
+              if told.edge_regions[one.sidecar] not in (*one.kind.homes, one.region)]
+    if len(abroad) > LED_ABROAD * len(bound):
+        yield Breach("HOME", f"{len(abroad)} of {len(bound)} requests with homes were led to other regions, "
+                             f"the first {abroad[0].attempt} to {abroad[0].sidecar}")
+
+
 def evacuated(told: History, bounds: dict[str, float]) -> Iterator[Breach]:
     spans = []
     for order in told.orders:
--- a/shedgrade/lab/system/world.py
+++ b/shedgrade/lab/system/world.py
@@ -11,7 +11,7 @@
 from shedgrade.lab.system.launcher import Launcher
 from shedgrade.lab.system.operators import Operator, statuses
 from shedgrade.lab.system.platform import InstanceDirectory, PlatformServer
-from shedgrade.lab.system.site import CORE, DIRECTORY, Site
+from shedgrade.lab.system.site import CORE, DIRECTORY, EDGE, FRONT, Site
 
 LOOK = 0.05         # s between two looks at something that others bring about
 
@@ -25,7 +25,7 @@
         self.loop = asyncio.get_running_loop()
         self.clock = self.loop.time
         self.key = self.random.randbytes(16)
-        self.history = History()
+        self.history = History(edge_regions={edge.address(FRONT): edge.region for edge in site.of(EDGE)})
         self.directory = InstanceDirectory(site.max_lag_ms / 1000, site.rate_per_s)
         self.platform = PlatformServer(self.loop, site.platform(), self.directory, self.clock)
         self.fleet = Fleet(self.loop, site, services, engines, self.directory, self.history,
--- a/tests/labsystem/test_system_judge.py
+++ b/tests/labsystem/test_system_judge.py
@@ -133,6 +133,18 @@
         "HOME"]
 
 
+def test_requests_that_the_directory_led_to_a_region_that_is_no_home_are_found():
+    """The client's own region counts as well; so does one in twenty, which may have been on its way."""
+    regions = {"1:80": "north", "2:80": "west", "3:80": "south"}
+    home, own, abroad = ([a_try("digest", number, region=region, sidecar=sidecar) for number in numbers]
+                         for region, sidecar, numbers in [("north", "1:80", range(1, 20)),
+                                                          ("south", "3:80", (20,)),
+                                                          ("north", "3:80", (21, 22))])
+    assert KIND["digest"].homes == ("north", "west")
+    assert rules(past(*home, *own, abroad[0], edge_regions=regions)) == []
+    assert rules(past(*home, *own, *abroad, edge_regions=regions)) == ["HOME"]
+
+
 def evacuation(**more):
     orders = [put(1, 0), Order("evacuate", 5.0, 5.1, 200, "quay"), Order("return", 20.0, 20.1, 200, "quay")]
     return past(a_try(at=18.0), orders=orders, read_back=orders[0].body, **more)
