--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -169,7 +169,11 @@
         self.pump()
 
     def beat(self) -> None:
-        """What has no timer of its own."""
+        """What has no timer of its own. Guards against a fault of our own, which must not end all looks: the
+        next one is due before anything is done."""
+        if self.left.is_set():
+            return
+        self.loop.call_later(BEAT, self.beat)
         now = self.loop.time()
         self.standstill.look(now)
         self.hub.confirmed(self.member.confirmed_at)
@@ -181,9 +185,7 @@
             self.spread_edges(now)
         self.hub.tick(now)
         self.pump()
-        if not self.left.is_set():
-            self.loop.call_later(BEAT, self.beat)
-            self.reload.look(now)
+        self.reload.look(now)
 
     def resettled(self, settings: Settings) -> None:
         """The settings were read anew."""
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -149,14 +149,15 @@
         self.look_at_end()
 
     def look_at_end(self) -> None:
-        """Ends the process once all that was taken has been answered."""
+        """Ends the process once all that was taken has been answered. A fault of our own ends no looks."""
+        if self.done.is_set():
+            return
+        self.loop.call_later(LOOK, self.look_at_end)
         now = self.loop.time()
         if self.drain.may_end(now):
             self.front.close_idle()
             if not self.busy():
                 self.finish()
-        if not self.done.is_set():
-            self.loop.call_later(LOOK, self.look_at_end)
 
     def finish(self) -> None:
         """The process ends, and the directory is told."""
@@ -177,6 +178,11 @@
             pool.turn.conclude()
 
     def beat(self) -> None:
+        """What has no timer of its own. Guards against a fault of our own, which must not end all looks: the
+        next one is due before anything is done."""
+        if self.done.is_set():
+            return
+        self.loop.call_later(BEAT, self.beat)
         now = self.loop.time()
         for pool in self.services.values():
             pool.probe_silent()
@@ -186,9 +192,7 @@
         if now >= self.recount_at:
             self.recount_at = now + RECOUNT
             self.recount(now)
-        if not self.done.is_set():
-            self.loop.call_later(BEAT, self.beat)
-            self.reload.look(now)
+        self.reload.look(now)
 
     def resettled(self, settings: Settings) -> None:
         """The settings were read anew."""
@@ -196,9 +200,11 @@
         self.state.resettled(settings)
 
     def look_after(self) -> None:
+        """The clients' connections. A fault of our own ends no looks."""
+        if self.done.is_set():
+            return
+        self.loop.call_later(LOOK_AFTER, self.look_after)
         self.front.look_after()
-        if not self.done.is_set():
-            self.loop.call_later(LOOK_AFTER, self.look_after)
 
     def recount(self, now: float) -> None:
         """What gossip knows: edges, by which budgets are dealt, and core members where all others fail."""
--- /dev/null
+++ b/tests/simulation/test_looks_go_on.py
@@ -0,0 +1,55 @@
+"""A fault of our own in one of the steady looks ends no later look, in the simulated system."""
+
+from operator import attrgetter
+
+import pytest
+
+from shedgrade.simulation.system.script import Script
+
+
+class PlantedError(Exception):
+    """What is planted."""
+
+
+def once(program, name):
+    """The next call of that method raises, and those after it go through; counts these."""
+    method, calls = getattr(program, name), []
+
+    def broken(*args):
+        setattr(program, name, counted)
+        raise PlantedError(name)
+
+    def counted(*args):
+        calls.append(args)
+        return method(*args)
+
+    setattr(program, name, broken)
+    return calls
+
+
+@pytest.mark.parametrize(
+    ("kind", "part", "name"),
+    [
+        ("edges", "front", "look_after"),
+        ("edges", "gossip.view", "count"),
+        ("cores", "recording", "beat"),
+    ],
+)
+def test_a_look_that_fails_once_comes_again(kind, part, name):
+    script = Script(seed=1)
+    script.until_ready()
+    machine = getattr(script.world, kind)[0]
+    calls = once(attrgetter(part)(machine.program), name)
+    script.run(4.0)
+    assert len(calls) >= 2
+    assert [fault["exception"].args for fault in machine.loop.faults] == [(name,)]
+
+
+def test_an_edge_whose_look_at_its_end_fails_once_still_ends():
+    script = Script(seed=2, edges=4)
+    script.until_ready()
+    script.run(1.0)
+    edge = script.world.edges[0]
+    script.faults.terminate(edge)
+    once(edge.program, "busy")
+    assert script.run_until(lambda: not edge.running, 4.0)
