--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -475,6 +475,18 @@
     run(play())
 
 
+@pytest.mark.parametrize(("name", "value"), [
+    ("Model-Name", "m"), ("Token-Usage", "1460,80"), ("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"),
+    ("Last-Event-Id", "7"), ("X-Own", "kept")])
+def test_a_header_of_the_client_goes_on_as_it_came(name, value):
+    async def play():
+        upstream = Upstream("i-1", serve_all)
+        async with sidecar(configuration(route(resumable=True)), upstream) as plane:
+            await answered(plane, request(**{name: value}))
+        assert [one[name.lower()] for one in upstream.requests] == [value]
+    run(play())
+
+
 def test_the_head_of_an_answer_is_the_upstreams_less_what_belongs_to_a_connection():
     async def play():
         async def more(request, writer):
