An edge's end closes no connection that has just come up

While an edge ends it looks each 50 ms for idle connections; one that had come up a moment before, with its request on the way, was closed too and cost its client a try. Idle counts from 0.2 s now. The tests are red without it, and with idle connections told wrong (nothing was red there before).

--- a/shedgrade/dataplane/front.py
+++ b/shedgrade/dataplane/front.py
@@ -8,6 +8,7 @@
 from shedgrade.dataplane.routes import Routes, ServedRoute
 
 BACK = 0.1, 0.4         # s after which a client is told to try elsewhere: spread, so they don't come together
+JUST_UP = 0.2           # s after which a connection that brought nothing counts as idle
 
 
 class IngressFront(Front):
@@ -33,6 +34,13 @@
     def service_of(self, route: ServedRoute):
         return self.plane.services.get(route.service(self.random)) if route.services else None
 
+    def close_idle(self) -> None:
+        """As any front's, but for connections that have just come up: their first request is on its way."""
+        now = self.loop.time()
+        for connection in list(self.clients):
+            if connection.idle() and now - connection.since >= JUST_UP:
+                connection.end()
+
     def come_back(self) -> int:
         """Tenths of a ms after which a refused client is to try again: elsewhere, or here once the machine
         serves again, where nobody else does."""
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -20,6 +20,7 @@
 )
 
 from shedgrade.configuration import Limits, Service
+from shedgrade.dataplane.front import JUST_UP
 from shedgrade.dataplane.service_times import ENOUGH
 from shedgrade.knowledge import ControlChange, ListMoved
 
@@ -451,6 +452,47 @@
     run(play())
 
 
+def test_an_end_closes_no_connection_that_has_just_come_up():
+    """Its request is on its way, and a close would cost its client a try."""
+    async def play():
+        async with sidecar(configuration(route(route_class="safe")), Upstream("i-1", plain)) as plane:
+            client = await Client().open(plane)
+            async with asyncio.timeout(5):
+                while not plane.front.clients:
+                    await asyncio.sleep(0)
+            plane.front.close_idle()
+            client.send(request())
+            assert await client.head() == 200
+            await client.body()
+            connection, = plane.front.clients
+            connection.since -= JUST_UP
+            plane.front.close_idle()
+            assert connection.transport.is_closing()
+    run(play())
+
+
+def test_an_end_closes_no_connection_whose_request_is_in_hand():
+    async def play():
+        taken, go_on = asyncio.Event(), asyncio.Event()
+
+        async def slow(request, writer):
+            taken.set()
+            await go_on.wait()
+            writer.write(whole(request, b"whole"))
+
+        async with sidecar(configuration(route(route_class="unsafe")), Upstream("i-1", slow)) as plane:
+            client = await Client().open(plane)
+            client.send(request())
+            async with asyncio.timeout(5):
+                await taken.wait()
+            connection, = plane.front.clients
+            connection.since -= JUST_UP
+            plane.front.close_idle()
+            go_on.set()
+            assert await client.head() == 200 and await client.body() == b"whole"
+    run(play())
+
+
 def test_a_sidecar_that_ends_takes_what_it_can_answer_in_time_and_says_when_somebody_serves_again():
     """Nobody else serves its region: the rest is refused at once, with the time of the machine's return."""
     async def play():
