--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -22,7 +22,7 @@
 from shedgrade.configuration import Limits, Service
 from shedgrade.dataplane.front import JUST_UP
 from shedgrade.dataplane.service_times import ENOUGH
-from shedgrade.knowledge import ControlChange, ListMoved
+from shedgrade.knowledge import ControlChange, Instance, ListMoved
 
 
 def run(coroutine):
@@ -452,6 +452,55 @@
     run(play())
 
 
+def test_where_an_upstream_answered_before_a_long_body_was_read_no_other_bytes_follow():
+    """It keeps the connection and reads on: what comes there is held for the rest of that body."""
+    async def play():
+        connections = []
+
+        async def answers_at_the_head(reader, writer):
+            came = bytearray()
+            connections.append(came)
+            while data := await reader.read(65536):
+                answered_already = b"\r\n\r\n" in came
+                came += data
+                if not answered_already and b"\r\n\r\n" in came:
+                    name = bytes(came).split(b"Attempt-Id: ")[1].split(b"\r\n")[0]
+                    writer.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\n"
+                                 b"Content-Length: 2\r\n\r\nok" % name)
+            writer.close()
+
+        server = await asyncio.start_server(answers_at_the_head, "127.0.0.1", 0)
+        upstream = Upstream("i-1", serve_all)
+        async with sidecar(configuration(route(route_class="unsafe", max_attempts=1)), upstream) as plane:
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            other = Instance("i-2", "lm", address, "z1", "available")
+            plane.state.moved(ListMoved(2, 1, 0.0, changed=(other,)))
+            long = 3 * 1024 * 1024
+            client = await Client().open(plane)
+            client.send(request(body=b"x" * 1024).replace(b"Content-Length: 1024",
+                                                          b"Content-Length: %d" % long))
+            client.send(b"x" * (long // 2))
+            assert await client.head() == 502
+            for number in range(2):
+                after, _ = await answered(plane, request(name=f"after-{number}", body=b"short"))
+                assert after.status == 200
+        server.close()
+        for came in connections:
+            assert came.count(b"Attempt-Id: ") == 1
+    run(play())
+
+
+@pytest.mark.parametrize("known", [False, True], ids=["no configuration", "a configuration"])
+def test_who_knows_no_configuration_says_503_and_who_knows_one_404(known):
+    async def play():
+        async with sidecar(configuration(route()), Upstream("i-1", plain)) as plane:
+            if not known:
+                plane.state.routes = None
+            client, _ = await answered(plane, request(path="/nowhere/"))
+            assert client.status == (404 if known else 503)
+    run(play())
+
+
 def test_an_end_closes_no_connection_that_has_just_come_up():
     """Its request is on its way, and a close would cost its client a try."""
     async def play():
