--- a/tests/simulation/test_edge_ends.py
+++ b/tests/simulation/test_edge_ends.py
@@ -37,6 +37,21 @@
     assert script.findings() == []
 
 
+def test_an_edge_that_was_told_to_end_is_ready_no_more():
+    """The platform asks for its readiness each second, and counts it out after two refusals."""
+    script = Script(seed=2, edges=4)
+    script.until_ready()
+    script.run(1.0)
+    edge = script.world.edges[0]
+    assert edge.program.ready()
+    script.faults.terminate(edge, GRACE)
+    script.run(0.05)
+    answers = []
+    edge.program.tell_ready(None, answers.append)
+    assert [answer.status for answer in answers] == [503]
+    assert edge.running
+
+
 def test_an_edge_that_nobody_asks_ends_as_soon_as_others_have_its_clients():
     script = Script(seed=2, edges=4)
     script.until_ready()
