--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -501,6 +501,29 @@
     run(play())
 
 
+def test_a_stream_that_goes_on_elsewhere_hands_on_only_the_time_that_is_left():
+    async def play():
+        async def breaks_off_late(request, writer):
+            writer.write(streaming(request) + chunk(events(1)))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            plane.clock.advance(700)
+            return False
+
+        first, second = Upstream("i-1", breaks_off_late), Upstream("i-2", breaks_off_late)
+        async with sidecar(configuration(route(resumable=True)), first, second, manual=True) as plane:
+            client = await Client().open(plane)
+            client.send(request(wait=3000))
+            assert await client.head() == 200
+            async with asyncio.timeout(5):
+                while not (first.requests and second.requests):
+                    await asyncio.sleep(0.01)
+        legs = [*first.requests, *second.requests]
+        later, earlier = sorted(int(leg["time-remaining"]) for leg in legs)
+        assert 2250 < later <= 2300 and 2950 < earlier <= 3000
+    run(play())
+
+
 def test_an_end_closes_no_connection_that_has_just_come_up():
     """Its request is on its way, and a close would cost its client a try."""
     async def play():
--- /dev/null
+++ b/tests/simulation/test_beyond_tolerated.py
@@ -0,0 +1,93 @@
+"""Troubles beyond what is tolerated, in the simulated system: nothing acknowledged is lost, nothing old told.
+
+Source: NEWS-22, "On the machines": the machines that count may be cut into two halves, and losses may overlap
+beyond `toleratedLosses` as long as no more disks are lost; and the operators' word that with the last disks
+all other machines may lose power, also those that don't count.
+"""
+
+import pytest
+
+from shedgrade.simulation.system.history import Kind
+from shedgrade.simulation.system.script import Script
+
+RECOVERS = 12.0  # s
+
+
+def changed(script, base, version):
+    call = script.call(script.operator.put(base, version, f"change-{version}"))
+    assert script.run_until(lambda: call.acknowledged, 6.0)
+    return call
+
+
+def read_everywhere(script):
+    """Reads at each member, once."""
+    return [script.call(script.operator.get(first=script.member(machine))) for machine in script.world.cores]
+
+
+@pytest.mark.parametrize(("tolerated", "half"), [(1, 1), (1, 2), (2, 2), (2, 3)])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_core_cut_into_two_halves_tells_nothing_old_and_goes_on(tolerated, half, seed):
+    """`half` members with the primary on one side; clients, operators and edges reach both."""
+    script = Script(seed=seed, tolerated=tolerated, edges=3)
+    script.until_ready()
+    world, primary = script.world, script.world.primary()
+    near = [primary, *[core for core in world.cores if core is not primary][: half - 1]]
+    far = [core for core in world.cores if core not in near]
+    for machine in near:
+        script.faults.isolate(machine, 8.0, others=far)
+    for _ in range(7):
+        read_everywhere(script)
+        script.run(1.0)
+    change = script.call(script.operator.put(1, 2, "beside the cut"))
+    script.run(0.5)
+    read_everywhere(script)
+    assert script.run_until(lambda: change.acknowledged, RECOVERS)
+    read_everywhere(script)
+    script.run(4.0)
+    reads = [call for call in world.history.calls if call.kind is Kind.GET]
+    assert len(reads) >= 9 * len(world.cores)
+    assert script.everywhere(2)
+    assert script.findings() == []
+
+
+@pytest.mark.parametrize("number", range(3))
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_last_disks_are_lost_while_every_other_machine_loses_power(seed, number):
+    """At the moment of an acknowledgement; edges and the platform's list are without power too. `number`: of
+    the member whose disk goes. Links and disks are slow, so that little has come further than it must."""
+    script = Script(seed=seed, edges=3, disk_latency=0.02, between=0.055)
+    script.until_ready()
+    world, random = script.world, script.world.random
+
+    def strike(call):
+        for machine in (*world.cores, *world.edges, world.platform):
+            fault = script.faults.wipe if machine is world.cores[number] else script.faults.power_off
+            fault(machine, random.uniform(0.5, 2.5))
+
+    world.on_acknowledged = strike
+    changed(script, 1, 2)
+    read = script.call(script.operator.get())
+    assert script.run_until(lambda: read.status is not None, RECOVERS)
+    assert (read.status, read.body_version) == (200, 2)
+    script.run(4.0)
+    assert script.everywhere(2)
+    assert script.findings() == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_two_of_three_members_away_at_once_come_back_with_what_was_acknowledged(seed):
+    """One more than is tolerated, with their disks: service rests, and nothing is lost or shown older."""
+    script = Script(seed=seed)
+    script.until_ready()
+    changed(script, 1, 2)
+    away = script.world.random.sample(script.world.cores, 2)
+    script.faults.power_off(away[0], 4.0)
+    script.faults.power_off(away[1], 5.0)
+    for _ in range(6):
+        read_everywhere(script)
+        script.run(1.0)
+    read = script.call(script.operator.get())
+    assert script.run_until(lambda: read.status is not None, RECOVERS)
+    assert (read.status, read.body_version) == (200, 2)
+    script.run(4.0)
+    assert script.findings() == []
