--- a/tests/simulation/test_edge_ends.py
+++ b/tests/simulation/test_edge_ends.py
@@ -50,6 +50,7 @@
     edge.program.tell_ready(None, answers.append)
     assert [answer.status for answer in answers] == [503]
     assert edge.running
+    script.world.close()
 
 
 def test_an_edge_that_nobody_asks_ends_as_soon_as_others_have_its_clients():
--- a/tests/simulation/test_looks_go_on.py
+++ b/tests/simulation/test_looks_go_on.py
@@ -7,6 +7,20 @@
 from shedgrade.simulation.system.script import Script
 
 
+@pytest.fixture
+def scripted():
+    """Makes scripted runs; whatever they leave runs no more, and is not told when it is collected."""
+    made = []
+
+    def make(**shape):
+        made.append(Script(**shape))
+        return made[-1]
+
+    yield make
+    for script in made:
+        script.world.close()
+
+
 class PlantedError(Exception):
     """What is planted."""
 
@@ -35,8 +49,8 @@
         ("cores", "recording", "beat"),
     ],
 )
-def test_a_look_that_fails_once_comes_again(kind, part, name):
-    script = Script(seed=1)
+def test_a_look_that_fails_once_comes_again(kind, part, name, scripted):
+    script = scripted(seed=1)
     script.until_ready()
     machine = getattr(script.world, kind)[0]
     calls = once(attrgetter(part)(machine.program), name)
@@ -45,8 +59,8 @@
     assert [fault["exception"].args for fault in machine.loop.faults] == [(name,)]
 
 
-def test_an_edge_whose_look_at_its_end_fails_once_still_ends():
-    script = Script(seed=2, edges=4)
+def test_an_edge_whose_look_at_its_end_fails_once_still_ends(scripted):
+    script = scripted(seed=2, edges=4)
     script.until_ready()
     script.run(1.0)
     edge = script.world.edges[0]
