--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -501,6 +501,18 @@
     run(play())
 
 
+@pytest.mark.parametrize(("kind", "rank", "told"), [
+    ("streaming", 0, "0"), ("streaming", 3, "3"), ("streaming", 12, "9"), ("safe", 3, None)])
+def test_an_upstream_is_told_the_rank_of_a_streams_route(kind, rank, told):
+    """0 to 9, 0 first; what a client says of it counts for nothing."""
+    async def play():
+        upstream = Upstream("i-1", serve_all if kind == "streaming" else plain)
+        async with sidecar(configuration(route(route_class=kind, priority=rank)), upstream) as plane:
+            await answered(plane, request(priority="7"))
+        assert [one.get("priority") for one in upstream.requests] == [told]
+    run(play())
+
+
 def test_a_stream_that_goes_on_elsewhere_hands_on_only_the_time_that_is_left():
     async def play():
         async def breaks_off_late(request, writer):
