Checks: formatter, wider lint and types hold for the new modules and tests

Eleven files of this work keep to the formatter and the wider lint, five to the type checker; home_regions.py does not yet (a narrowing that the checker does not see). python -m tools.checks passes.

--- a/tools/checks.py
+++ b/tools/checks.py
@@ -19,7 +19,18 @@
     "shedgrade/simulation/catch_up.py",
     "shedgrade/simulation/crash_day.py",
     "shedgrade/simulation/crash_points.py",
+    "shedgrade/simulation/system/clients.py",
+    "shedgrade/simulation/system/directory_checkers.py",
+    "benchmarks/own_days.py",
     "tests/storage",
+    "tests/dataplane/test_draining.py",
+    "tests/dataplane/test_service_times.py",
+    "tests/dataplane/test_weighted_split.py",
+    "tests/simulation/test_beyond_tolerated.py",
+    "tests/simulation/test_directory_homes.py",
+    "tests/simulation/test_edge_ends.py",
+    "tests/simulation/test_fleet_count.py",
+    "tests/simulation/test_looks_go_on.py",
 )
 TYPED = (
     "tools",
@@ -31,6 +42,11 @@
     "shedgrade/replication/change_index.py",
     "shedgrade/simulation/crash_day.py",
     "shedgrade/simulation/crash_points.py",
+    "shedgrade/simulation/system/clients.py",
+    "shedgrade/simulation/system/directory_checkers.py",
+    "shedgrade/dataplane/draining.py",
+    "shedgrade/dataplane/service_times.py",
+    "benchmarks/own_days.py",
 )
 WIDER_RULES = "C4,PERF,PIE,RET,RUF021,SIM"  # beside those of pyproject.toml
 
