--- /dev/null
+++ b/tests/dataplane/test_exchange.py
@@ -0,0 +1,21 @@
+"""Until when a request in hand may last, as a process that ends reckons it."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from shedgrade.dataplane.exchange import TICKS, Exchange
+from shedgrade.memory.in_hand import Request
+
+NOW = 1_000_000  # tenths of a ms
+
+
+@pytest.mark.parametrize(("longest_s", "lasts_s"), [(2.0, 2.0), (9.0, 4.0), (float("inf"), 4.0)])
+def test_it_may_last_as_long_as_its_service_takes_and_its_client_waits(longest_s, lasts_s):
+    asked = []
+    times = SimpleNamespace(longest=lambda *words: asked.append(words) or longest_s)
+    service = SimpleNamespace(clock=SimpleNamespace(now=lambda: NOW), times=times)
+    request = Request(b"id", b"POST", b"/a/", [], b"")
+    exchange = Exchange(None, request, service, None, True, None, NOW + 4 * TICKS, (1460, 80))
+    assert exchange.may_last_until() == NOW + lasts_s * TICKS
+    assert asked == [(True, (1460, 80))]
--- a/tests/simulation/test_edge_ends.py
+++ b/tests/simulation/test_edge_ends.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from shedgrade.dataplane.exchange import TICKS
+from shedgrade.knowledge import CLOSED, STAGES
 from shedgrade.simulation.system.caller import ResponseReader
 from shedgrade.simulation.system.script import Script
 from shedgrade.simulation.system.world import FRONT
@@ -53,6 +55,58 @@
     script.world.close()
 
 
+def test_an_edge_whose_looks_at_its_end_all_fail_ends_by_itself_before_it_is_killed():
+    script = Script(seed=2, edges=4)
+    script.until_ready()
+    script.run(1.0)
+    edge = script.world.edges[0]
+
+    def broken():
+        raise RuntimeError("planted")
+
+    edge.program.busy = broken
+    script.faults.terminate(edge, GRACE)
+    script.run(GRACE - 0.1)
+    noted = [what for _, what, who in script.world.history.events if who == edge.name]
+    assert "ended" in noted and not edge.running
+    script.world.close()
+
+
+def test_the_directory_is_told_that_an_edge_has_closed():
+    script = Script(seed=2, edges=4)
+    script.until_ready()
+    script.run(1.0)
+    edge = script.world.edges[0]
+    script.faults.terminate(edge, GRACE)
+    assert script.run_until(lambda: not edge.running, TAKES_ALL + 0.3)
+    told = [core.program.hub.ending.get(edge.name) for core in script.world.cores]
+    assert STAGES[CLOSED] in [ending.stage for ending in told if ending is not None]
+    assert script.findings() == []
+
+
+def test_an_edge_knows_until_when_what_it_has_in_hand_may_last():
+    class InHand:
+        def may_last_until(self):
+            return program.clock.now() + 2 * TICKS
+
+    script = Script(seed=2, edges=4)
+    script.until_ready()
+    script.run(1.0)
+    program = script.world.edges[0].program
+    left = []
+
+    def look():
+        left.append(program.in_hand_until() - program.loop.time())
+        program.services["lm"].turn.in_hand.carried.add(InHand())
+        left.append(program.in_hand_until() - program.loop.time())
+        program.services["lm"].turn.in_hand.carried.clear()
+
+    program.loop.call_soon(look)
+    script.run(0.01)
+    assert left == [0.0, pytest.approx(2.0)]
+    assert script.findings() == []
+
+
 def test_an_edge_that_nobody_asks_ends_as_soon_as_others_have_its_clients():
     script = Script(seed=2, edges=4)
     script.until_ready()
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -24,6 +24,7 @@
     "benchmarks/own_days.py",
     "tests/storage",
     "tests/dataplane/test_draining.py",
+    "tests/dataplane/test_exchange.py",
     "tests/dataplane/test_service_times.py",
     "tests/dataplane/test_weighted_split.py",
     "tests/simulation/test_beyond_tolerated.py",
