Loads of all edges, shared by way of the core ten times a second, count in the choice

Change: edges report what they have in flight, core members add it up and tell each edge the others' sums, which count as held wherever an upstream is compared with its region's mean; a region that all together crowd (half of the slots in use, up to all of them by each request's own draw) is dropped as the gate drops one.

--- a/shedgrade/controlplane/plane.py
+++ b/shedgrade/controlplane/plane.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from random import Random
 from time import sleep, time
+from zlib import crc32
 
 import msgspec
 
@@ -30,6 +31,7 @@
 from shedgrade.knowledge import Ask, AskList, EdgeSeen, EdgesKnown, EdgeState, ListMoved
 from shedgrade.link.address import split
 from shedgrade.link.tcp import Links, LinkServer
+from shedgrade.loads import LoadHub, LoadReport, LoadsShared
 from shedgrade.log import logger
 from shedgrade.membership.messages import Node
 from shedgrade.membership.running import Gossip
@@ -43,6 +45,7 @@
 LEAVES = 0.2            # s for what was said last to leave
 KILL_MARGIN = 1.0       # s before SIGKILL at which this process ends, whatever it still waits for
 RELOAD = 0.2            # s before a disk that can't be read is tried again
+LOAD_BEAT = 0.1         # s between two words to edges and members about what edges have in flight
 AGED = 3                # beats without a list from the platform after which its holder gives the duty up
 
 encode = msgspec.msgpack.Encoder().encode
@@ -104,6 +107,7 @@
         self.reach = Reach(own, settings.region)
         self.standstill = Standstill(now)
         self.recording = Recording(self.hub, random.getrandbits(40) + 1, founding, self.tell_knowledge)
+        self.loads = LoadHub(own)
         self.gossip = Gossip(loop, Node(settings.node_name, settings.gossip_address, "core", settings.zone,
                                         random.getrandbits(48), own), settings.seed_gossips, random)
         self.edge_peers: dict[str, object] = {}     # by an edge's link address: where it asks
@@ -140,6 +144,7 @@
         gc.collect()
         gc.freeze()
         self.beat()
+        self.share_loads()
         self.arrivals.start()
         if not self.settings.initial_start:
             self.looking = self.loop.create_task(self.look())
@@ -187,6 +192,17 @@
         self.pump()
         self.reload.look(now)
 
+    def share_loads(self) -> None:
+        """What edges have in flight. A fault of our own ends no looks."""
+        if self.left.is_set():
+            return
+        self.loop.call_later(LOAD_BEAT, self.share_loads)
+        self.loads.forget_silent(self.loop.time())
+        self.loads.tell_edges(self.loop.time())
+        shared = self.loads.share()
+        if shared is not None:
+            self.tell_knowledge(shared)
+
     def resettled(self, settings: Settings) -> None:
         """The settings were read anew."""
         self.settings = settings
@@ -347,6 +363,11 @@
                              unread_s)
                 if self.hub.own_version != before:
                     self.spread_edges(now)
+            case LoadReport():
+                self.loads.reported(now, message, lambda told: self.links.send(
+                    sender, KNOWLEDGE + knowledge.encode(told)))
+            case LoadsShared():
+                self.loads.shared(now, message)
             case RecordMoved() | RecordRead() | AskRecord():
                 self.recording.heard(now, message, lambda body: answer(KNOWLEDGE + body))
             case EdgesKnown():
@@ -362,6 +383,8 @@
 
     def list_moved(self, now: float) -> None:
         self.recording.listed(self.instances)
+        self.loads.regions = {crc32(one.id.encode()): self.settings.zones.get(one.zone, "")
+                              for one in self.instances.instances()}
         self.hub.instances(now, self.instances)
 
     def polled(self, changed: bool) -> None:
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -22,6 +22,8 @@
 from shedgrade.link.address import join
 from shedgrade.link.peer import LinkError
 from shedgrade.link.tcp import Links
+from shedgrade.loads import LoadReporter, LoadsTold, OthersKnown
+from shedgrade.loads.edge import INTERVAL as LOAD_INTERVAL
 from shedgrade.log import logger
 from shedgrade.membership.messages import Node
 from shedgrade.membership.running import Gossip
@@ -58,7 +60,9 @@
         self.life = random.getrandbits(48)
         self.drain: Drain | None = None         # from SIGTERM on
         self.done = asyncio.Event()
-        self.links = Links(loop, settings.link_address, lambda sender, frame: None, settings.ip_address)
+        self.links = Links(loop, settings.link_address, self.heard, settings.ip_address)
+        self.reporter = LoadReporter(settings.node_name, settings.region)
+        self.others = OthersKnown()
         self.asker = Watcher(self.edge_state(), settings.seed_links, random, loop.time(),
                            beat=min(ASK_BEAT, settings.heartbeat_ms / 1000))
         me = self.asker.edge
@@ -126,6 +130,7 @@
         self.ask()
         self.beat()
         self.look_after()
+        self.share_loads()
         await self.done.wait()
         self.listener.close()
         await asyncio.sleep(LAST_WORD)
@@ -214,6 +219,32 @@
             nodes = self.gossip.view.nodes()
             self.asker.met(node.link for node in nodes if node.kind == "core" and node.link)
 
+    # --- loads
+
+    def share_loads(self) -> None:
+        """Tells the core what is in flight here. A fault of our own ends no looks."""
+        if self.done.is_set():
+            return
+        self.loop.call_later(LOAD_INTERVAL, self.share_loads)
+        now = self.loop.time()
+        if self.others.forget_if_stale(now):
+            self.state.others_told({})
+        if self.asker.main is not None:
+            to = self.asker.main.address
+            report = self.reporter.report(now, to, self.state.own_loads(), len(self.others.loads))
+            if report is not None:
+                self.links.send(to, KNOWLEDGE + knowledge.encode(report))
+
+    def heard(self, sender: str, frame) -> None:
+        """A word that came unasked."""
+        try:
+            told = knowledge.decode(frame.body[1:])
+        except (msgspec.MsgspecError, ValueError):
+            return      # of a member of another version
+        if isinstance(told, LoadsTold):
+            self.others.take(self.loop.time(), told)
+            self.state.others_told(self.others.loads)
+
     # --- asking
 
     def restate(self) -> None:
--- a/shedgrade/dataplane/service.py
+++ b/shedgrade/dataplane/service.py
@@ -69,6 +69,8 @@
         evacuated counts as draining; what has `returned` from that, so many seconds ago, counts as cold from
         then on, as it may be, whatever the list that lags says."""
         now, rows, leaving = self.clock.now(), [], []
+        instances = list(instances)
+        self.balancer.slots = min((one.slots for one, _ in instances if one.slots > 0), default=0)
         for one, cold_left in instances:
             region = region_of.get(one.zone)
             host, _, port = one.address.rpartition(":")
--- a/shedgrade/dataplane/state.py
+++ b/shedgrade/dataplane/state.py
@@ -1,6 +1,6 @@
 """What this sidecar knows: routes in force, services, upstreams, evacuated zones. Told by the control
 plane."""
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from zlib import crc32
 
 from shedgrade.configuration import parse
@@ -48,6 +48,15 @@
         for service in self.services.values():
             service.counted(self.sidecars)
 
+    def own_loads(self) -> dict[int, int]:
+        """What this sidecar has in flight, by mark of the upstream."""
+        return {mark: load for pool in self.services.values() for mark, load in pool.balancer.own_loads()}
+
+    def others_told(self, loads: Mapping[int, int]) -> None:
+        """What other sidecars have in flight, by mark."""
+        for pool in self.services.values():
+            pool.balancer.others_told(loads)
+
     def controlled(self, change: ControlChange) -> None:
         raw = unpacked(change)
         if raw is not None:
--- a/shedgrade/knowledge.py
+++ b/shedgrade/knowledge.py
@@ -5,6 +5,7 @@
 """
 import msgspec
 
+from shedgrade.loads.messages import LoadReport, LoadsShared, LoadsTold
 from shedgrade.record.ledger import AskRecord, Pair, RecordMoved, RecordRead
 
 COMPRESSED_OVER = 8 * 1024      # bytes of a configuration beyond which it travels compressed
@@ -174,7 +175,8 @@
     members: tuple[str, ...]
 
 
-Message = Ask | Told | EdgesKnown | ListMoved | AskList | RecordMoved | RecordRead | AskRecord
+Message = (Ask | Told | EdgesKnown | ListMoved | AskList | RecordMoved | RecordRead | AskRecord
+           | LoadReport | LoadsTold | LoadsShared)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode    # msgspec.DecodeError for anything else
 
--- /dev/null
+++ b/shedgrade/loads/__init__.py
@@ -0,0 +1,12 @@
+"""What all edges together have in flight at each upstream, shared many times a second by way of the core.
+
+Sans I/O. One edge of many sees little of what an upstream has to do; a prompt is read within some hundred ms,
+so only words that are younger than that tell where one is being read. Loads are hints: nothing breaks where
+they are missing, late or wrong, and they are forgotten when their source falls silent.
+"""
+
+from shedgrade.loads.edge import LoadReporter, OthersKnown
+from shedgrade.loads.hub import LoadHub
+from shedgrade.loads.messages import LoadReport, LoadsShared, LoadsTold
+
+__all__ = ["LoadHub", "LoadReport", "LoadReporter", "LoadsShared", "LoadsTold", "OthersKnown"]
--- a/shedgrade/serving/balancer.py
+++ b/shedgrade/serving/balancer.py
@@ -7,14 +7,15 @@
 from shedgrade.decide.upstream import SECOND, Upstream
 from shedgrade.decide.zones import Zone
 from shedgrade.serving.cold import ColdShares
+from shedgrade.serving.others import OthersLoad
 from shedgrade.serving.prefix import Prefixes
 from shedgrade.serving.repeats import Repeats
 from shedgrade.serving.request import ServingRpc, Wants
 
-MARGIN = 1.0        # in flight over the region's mean up to which the holder of a prompt is taken
+MARGIN = 1.0               # in flight over the region's mean up to which the holder of a prompt is taken
 FAR = 2048          # tokens of shared parts: reading so many anew takes as long as the way to another region
-UNIT = 2048         # tokens of a prompt that weigh as much as a request in flight while they are read
-HEAVIEST = 16       # requests in flight that one prompt may weigh
+UNIT = 2048          # tokens of a prompt that weigh as much as a request in flight while they are read
+HEAVIEST = 16          # requests in flight that one prompt may weigh
 MOST = 6            # transmissions of one try, those included that never arrived
 BACK = 0.25, 0.75   # s after which a client is told to come back: spread, so that they don't come together
 
@@ -43,7 +44,7 @@
         """Nobody is told."""
 
 
-class ServingBalancer(ColdShares, Balancer):
+class ServingBalancer(OthersLoad, ColdShares, Balancer):
     """`decide.Balancer` for streams of a model: no windows and no times foreseen, as an upstream's batch
     takes what comes; places are kept until a stream ends."""
     handle = ServingRpc
@@ -52,6 +53,7 @@
     def __init__(self, regions: list[str], own: int, seed: int, now: int, repeats: Repeats,
                  name: str = "") -> None:
         self.cold_until: dict[int, int] = {}    # by upstream, as the list tells
+        self.others: dict[int, int] = {}
         self.prefixes, self.repeats, self.name = Prefixes(), repeats, name
         self.record = NoRecord()
         super().__init__(settings(regions, own), seed, now)
@@ -67,7 +69,14 @@
     def choose(self, now: int, rpc: ServingRpc, stay: bool) -> Upstream | None:
         """Guards against a refusal while something could be tried: what returns first, one request at a
         time."""
-        return self.kept_elsewhere(now, rpc) or super().choose(now, rpc, stay) or self.last_resort(now, rpc)
+        up = self.kept_elsewhere(now, rpc)
+        if up is None:
+            rpc.dropped = self.crowded(rpc)
+            up = super().choose(now, rpc, stay)
+            if up is None and rpc.dropped is not None:
+                rpc.dropped = None
+                up = super().choose(now, rpc, stay)
+        return up or self.last_resort(now, rpc)
 
     def kept_elsewhere(self, now: int, rpc: ServingRpc) -> Upstream | None:
         """The own region gives way to one upstream of another: the one on record as holding a long prompt's
--- /dev/null
+++ b/shedgrade/serving/others.py
@@ -0,0 +1,66 @@
+"""What other edges have in flight at each upstream, as the control plane tells it."""
+
+from collections.abc import Iterator, Mapping
+
+from shedgrade.decide.outcomes import REMOVED
+from shedgrade.decide.upstream import Upstream
+from shedgrade.decide.zones import Zone
+from shedgrade.serving.request import ServingRpc
+
+SLOTS_SHARE = 0.5  # of an upstream's slots in use on the mean, from which on a region may be dropped
+
+
+class OthersLoad:
+    """Counts requests of other edges as held: they load an upstream and are no work in flight of this one's.
+
+    So they count wherever an upstream is compared with its region's mean. Own in flight alone is what the
+    mechanism's gate goes by; with many edges it never comes near a threshold of requests per upstream, so the
+    same gate is applied to what all of them have in flight together.
+    """
+
+    others: dict[int, int]  # by upstream
+    slots = 0  # requests that an upstream works on at a time; 0: not told
+
+    def own_loads(self) -> Iterator[tuple[int, int]]:
+        """By mark, what this edge has in flight, with the weight of prompts that are not read yet."""
+        for up in self.ups.values():
+            load = up.flight + up.held - self.others.get(up.index, 0)
+            if load > 0 and up.mark is not None:
+                yield up.mark, load
+
+    def others_told(self, loads: Mapping[int, int]) -> None:
+        """`loads`: by mark, all that other edges have in flight there; none where it is not named."""
+        for up in self.ups.values():
+            self.set_others(up, loads.get(up.mark, 0) if up.listed else 0)
+
+    def set_others(self, up: Upstream, load: int) -> None:
+        before = self.others.pop(up.index, 0)
+        if load:
+            self.others[up.index] = load
+        if load != before:
+            self.count_in(up, 0, load - before)
+
+    def release(self, up: Upstream) -> None:
+        """What others still have at one that is gone is no reason to remember it."""
+        if up.state == REMOVED and up.zone is not None:
+            self.set_others(up, 0)
+        super().release(up)
+
+    def load_of(self, zone: Zone) -> float:
+        """Requests in flight per ready upstream of a region, of all edges."""
+        return (zone.flight + zone.held) / len(zone.ring)
+
+    def crowded(self, rpc: ServingRpc) -> int | None:
+        """The worst region by what all edges have in flight per ready upstream, if that is at the threshold.
+
+        Each request has a threshold of its own, between SLOTS_SHARE and twice that: guards against a fleet
+        that leaves a region all at once, and all at once comes back.
+        """
+        if not self.slots or not self.others:
+            return None
+        zones = [zone for zone in self.zones if rpc.reaches(zone)]
+        if len(zones) < 2:
+            return None
+        worst = max(zones, key=self.load_of)
+        threshold = SLOTS_SHARE * self.slots * (1.0 + self.chance())
+        return worst.number if self.load_of(worst) >= threshold else None
--- a/shedgrade/serving/request.py
+++ b/shedgrade/serving/request.py
@@ -30,11 +30,12 @@
 class ServingRpc(Rpc):
     """Goes again only after what proves that it did not run, or where it may run again, within the fleet's
     budget."""
-    __slots__ = ("arrived", "refused", "reading")
+    __slots__ = ("arrived", "refused", "reading", "dropped")
 
     def __init__(self, home, method, now: int, give_up_at: int, retry: bool, tag: object,
                  tenant: int) -> None:
         self.arrived, self.refused, self.reading = tag.wants.before, 0, 0
+        self.dropped: int | None = None     # the region that all edges together crowd
         super().__init__(home, method, now, give_up_at, retry, tag, tenant)
 
     def timed(self, now: int, give_up_at: int, retry: bool = False) -> None:
@@ -44,7 +45,7 @@
 
     def reaches(self, zone: Zone) -> bool:
         homes = self.tag.wants.homes
-        return bool(zone.ring) and (homes is None or zone.number in homes)
+        return bool(zone.ring) and zone.number != self.dropped and (homes is None or zone.number in homes)
 
     def allowed(self, up: Upstream, now: int) -> bool:
         wants = self.tag.wants
--- a/tests/serving/test_serving_choice.py
+++ b/tests/serving/test_serving_choice.py
@@ -201,3 +201,84 @@
     assert take(made, homes=frozenset({0}), **wants)[1][0] in (0, 1)
     made.zones[1].flight = 4
     assert take(made, **wants)[1][0] in (0, 1)
+
+
+# --- what other edges have in flight
+
+def busy(made, **loads):
+    """Others have so much in flight, by upstream."""
+    made.others_told({1000 + int(name[1:]): load for name, load in loads.items()})
+
+
+def test_one_that_others_load_well_above_the_mean_is_passed_over():
+    made = balancer(ups=((0, 0), (1, 0), (2, 0)))
+    busy(made, u0=5)
+    assert {take(made)[1][0] for _ in range(4)} == {1, 2}
+    busy(made)
+    assert made.zones[0].held == made.ups[0].held == 0
+
+
+def test_the_holder_of_a_prompt_is_passed_over_where_others_load_it():
+    made = balancer(ups=((0, 0), (1, 0), (2, 0), (3, 0)))
+    usual = take(made, key=b"p:3000", shared=3000, tokens=3100)[1][0]
+    busy(made, **{f"u{usual}": 9})
+    assert take(made, key=b"p:3000", shared=3000, tokens=3100)[1][0] != usual
+
+
+def test_a_region_that_all_edges_together_crowd_is_dropped():
+    made = balancer(own=0)
+    made.slots = 16
+    busy(made, u0=16, u1=16, u2=1)
+    assert {take(made)[1][0] for _ in range(8)} <= {2, 3}
+    busy(made, u0=7, u1=8)      # under half of the slots
+    assert {take(made)[1][0] for _ in range(2)} <= {0, 1}
+
+
+def test_between_half_of_the_slots_and_all_a_part_goes_elsewhere():
+    made = balancer(own=0)
+    made.slots = 16
+    regions = []
+    for number in range(200):
+        busy(made, u0=12, u1=12)
+        rpc, (index, _) = take(made, now=number)
+        regions.append(index // 2)
+        rpc.ended(number, 0, outcomes.COMPLETED, 1, False)
+        rpc.finish()
+    assert 60 < sum(regions) < 140
+
+
+def test_where_all_regions_are_crowded_requests_are_still_served():
+    made = balancer(own=0)
+    made.slots = 4
+    busy(made, u0=40, u1=40, u2=50, u3=50)
+    assert take(made)[1][0] in (0, 1)
+    only = balancer(ups=((0, 0), (1, 0)))
+    only.slots = 4
+    busy(only, u0=40, u1=40)
+    assert take(only)[1][0] in (0, 1)
+
+
+def test_without_word_of_others_or_of_slots_the_gate_goes_by_own_in_flight_alone():
+    made = balancer(own=0)
+    busy(made, u0=90, u1=90)
+    assert take(made)[1][0] in (0, 1)
+    made.slots = 16
+    busy(made)
+    assert take(made)[1][0] in (0, 1)
+
+
+def test_own_loads_are_those_of_this_edge_alone():
+    made = balancer()
+    _, (index, _) = take(made, tokens=5000)
+    busy(made, u0=7, u1=7, u2=7)
+    assert dict(made.own_loads()) == {1000 + index: 3}     # in flight, and two units unread
+
+
+def test_what_others_load_is_forgotten_with_an_upstream():
+    made = balancer()
+    busy(made, u0=7, u1=2)
+    rows = [(index, region, outcomes.READY, 0, 0, 1000 + index, 1.0, 0) for index, region in ((1, 0), (2, 1))]
+    made.list_changed(10, rows, True, False)
+    assert made.released() and made.zones[0].held == 2
+    busy(made)
+    assert made.zones[0].held == made.zones[1].held == 0
