A holder is taken while its load is above the mean by no more than reading anew would weigh

Change: the bar of a holder is the region's mean, a request, and the weight of its shared parts unread.

--- a/shedgrade/serving/balancer.py
+++ b/shedgrade/serving/balancer.py
@@ -94,13 +94,18 @@
         for zone in self.zones:
             if zone is own or not rpc.reaches(zone) or zone.flight / len(zone.ring) >= self.threshold:
                 continue
-            bar = (zone.flight + zone.held) / len(zone.ring) + MARGIN
+            bar = self.bar(zone, wants)
             for up in zone.ring:
                 if up.mark in held and up.flight + up.held <= bar and rpc.allowed(up, now) and self.room(
                         up, now, 0, 1.0) and (best is None or up.flight + up.held < best.flight + best.held):
                     best = up
         return best and self.chosen(best, now)
 
+    def bar(self, zone: Zone, wants: Wants) -> float:
+        """In flight at which one that keeps a prompt's shared parts is still taken: what the mean has, and
+        what reading them anew elsewhere would weigh."""
+        return self.load_of(zone) + MARGIN + wants.shared / UNIT
+
     def unread(self, up: Upstream, wants: Wants) -> int:
         """What reading its prompt there weighs, beside its place in flight, until its first event."""
         kept = wants.shared if wants.key and up.mark in self.record.holders(wants.kept_as) else 0
@@ -125,7 +130,7 @@
     def rotate(self, zone: Zone, now: int, rpc: ServingRpc, left: int) -> Upstream | None:
         wants: Wants = rpc.tag.wants
         if wants.key and len(zone.ring) > 1:
-            bar = (zone.flight + zone.held) / len(zone.ring) + MARGIN
+            bar = self.bar(zone, wants)
             held = self.record.holders(wants.kept_as)
             known = [up for up in zone.ring if up.mark in held] if held else ()
             for up in (*known, *self.prefixes.holders(zone, wants.key)):
