A region is dropped from a third of its slots in use on, where another has a third less

Cause: with half of the slots as the threshold a region whose zone is evacuated still ran twice as full as the others.

--- a/shedgrade/serving/others.py
+++ b/shedgrade/serving/others.py
@@ -7,7 +7,8 @@
 from shedgrade.decide.zones import Zone
 from shedgrade.serving.request import ServingRpc
 
-SLOTS_SHARE = 0.5  # of an upstream's slots in use on the mean, from which on a region may be dropped
+SLOTS_SHARE = 1 / 3  # of an upstream's slots in use on the mean, from which on a region may be dropped
+RELIEF = 1.5  # times the load of the least loaded region: below it, going there gains less than the way costs
 
 
 class OthersLoad:
@@ -51,7 +52,8 @@
         return (zone.flight + zone.held) / len(zone.ring)
 
     def crowded(self, rpc: ServingRpc) -> int | None:
-        """The worst region by what all edges have in flight per ready upstream, if that is at the threshold.
+        """The worst region by what all edges have in flight per ready upstream, if that is at the threshold
+        and another one is much better.
 
         Each request has a threshold of its own, between SLOTS_SHARE and twice that: guards against a fleet
         that leaves a region all at once, and all at once comes back.
@@ -62,5 +64,6 @@
         if len(zones) < 2:
             return None
         worst = max(zones, key=self.load_of)
+        load, least = self.load_of(worst), min(self.load_of(zone) for zone in zones)
         threshold = SLOTS_SHARE * self.slots * (1.0 + self.chance())
-        return worst.number if self.load_of(worst) >= threshold else None
+        return worst.number if load >= threshold and load >= RELIEF * least else None
