--- /dev/null
+++ b/benchmarks/ablation.py
@@ -0,0 +1,168 @@
+"""Switches off one mechanism after another and prints what each is worth: means over seeds, with spread.
+
+Usage: python -m benchmarks.ablation SCENE... [--seeds N] [--seconds S] [--jobs N] [--variant NAME]...
+       python -m benchmarks.ablation SITE DAY --bench PROGRAM [--seeds N] [--variant NAME]...
+
+With scenes, `benchmarks/choice.py` plays them and all figures are simulated. With `--bench`, the operators'
+bench plays DAY of SITE, one play after another. Each variant of `ablations.toml` is played on a copy of the
+sources of its own; what stands in the working tree is not touched.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import shutil
+import statistics
+import subprocess
+import sys
+import tempfile
+import tomllib
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from math import sqrt
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TABLE = Path(__file__).with_name("ablations.toml")
+AS_IT_IS = "as it is"
+COPIED = ("shedgrade", "benchmarks", "deploy", "requirements.txt")
+
+
+@dataclass(frozen=True)
+class Edit:
+    """In `file`, every `find` becomes `put`."""
+
+    file: str
+    find: str
+    put: str
+
+
+@dataclass(frozen=True)
+class Variant:
+    """One mechanism switched off. `needs`: "choice", or "bench" where only that can show it."""
+
+    name: str
+    needs: str
+    edits: tuple[Edit, ...]
+
+
+def variants() -> list[Variant]:
+    """As the table says."""
+    table = tomllib.loads(TABLE.read_text())["variant"]
+    return [Variant(one["name"], one["needs"], tuple(Edit(**edit) for edit in one["edits"])) for one in table]
+
+
+def apply(edit: Edit, root: Path) -> None:
+    """ValueError if the text no longer stands there: then the variant would measure nothing."""
+    path = root / edit.file
+    text = path.read_text()
+    if edit.find not in text:
+        raise ValueError(f"{edit.file}: {edit.find!r} does not stand there")
+    path.write_text(text.replace(edit.find, edit.put))
+
+
+def copy(variant: Variant | None, folder: Path) -> Path:
+    """The sources with the variant's edits, as a repository of its own, which the bench asks for."""
+    for name in COPIED:
+        source = ROOT / name
+        if source.is_dir():
+            shutil.copytree(source, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
+        else:
+            shutil.copy(source, folder / name)
+    for edit in variant.edits if variant is not None else ():
+        apply(edit, folder)
+    return folder
+
+
+def played_scene(folder: Path, scene: Path, seed: int, seconds: float) -> dict[str, float]:
+    """One play by `benchmarks.choice` in a process of its own, as the sources differ."""
+    program = (
+        "import json, sys, tomllib; from benchmarks.choice import play;"
+        "scene = tomllib.loads(open(sys.argv[1]).read());"
+        "print(json.dumps(play(scene, int(sys.argv[2]), 'edges', float(sys.argv[3]))))"
+    )
+    arguments = [sys.executable, "-c", program, str(scene.resolve()), str(seed), str(seconds)]
+    done = subprocess.run(arguments, cwd=folder, capture_output=True, text=True, check=True)
+    return json.loads(done.stdout)
+
+
+def played_day(folder: Path, bench: Path, site: Path, day: str, seed: int) -> dict[str, float]:
+    """One play by the operators' bench. Broken rules are counted, so that they stand in the table."""
+    report = folder / f"report-{seed}.json"
+    arguments = [str(bench), "run", str(site), day, "--report", str(report)]
+    subprocess.run(
+        arguments + (["--seed", str(seed)] if seed else []), cwd=folder, capture_output=True, check=False
+    )
+    told = json.loads(report.read_text())
+    parts = {name: value for name, _, value in told["parts"]}
+    return {"worth": told["G"], **parts, "rules broken": float(len(told["breaks"]))}
+
+
+def row(name: str, found: list[dict[str, float]], columns: list[str]) -> str:
+    cells = []
+    for column in columns:
+        values = [one[column] for one in found]
+        spread = statistics.stdev(values) / sqrt(len(values)) if len(values) > 1 else 0.0
+        cells.append(f"{statistics.mean(values):.3f} +- {spread:.3f}")
+    return f"| {name} | " + " | ".join(cells) + " |"
+
+
+def table(title: str, plays: dict[str, list[dict[str, float]]]) -> str:
+    columns = list(next(iter(plays.values()))[0])
+    lines = [f"## {title}", "", f"| without | {' | '.join(columns)} |", "| --- " * (len(columns) + 1) + "|"]
+    return "\n".join(lines + [row(name, found, columns) for name, found in plays.items()]) + "\n"
+
+
+def chosen(names: list[str], needs: tuple[str, ...]) -> dict[str, Variant | None]:
+    """Variants by name, the program as it is first."""
+    wanted = {one.name: one for one in variants() if (one.name in names if names else one.needs in needs)}
+    return {AS_IT_IS: None, **wanted}
+
+
+def scenes(options: argparse.Namespace, folder: Path) -> None:
+    copies = {}
+    for number, (name, variant) in enumerate(chosen(options.variant, ("choice",)).items()):
+        copies[name] = copy(variant, folder / str(number))
+    with ThreadPoolExecutor(options.jobs) as pool:
+        for scene in options.what:
+            found = {
+                name: [
+                    pool.submit(played_scene, where, Path(scene), seed, options.seconds)
+                    for seed in range(options.seeds)
+                ]
+                for name, where in copies.items()
+            }
+            plays = {name: [one.result() for one in them] for name, them in found.items()}
+            print(table(f"{Path(scene).stem}, simulated", plays), flush=True)
+
+
+def days(options: argparse.Namespace, folder: Path) -> None:
+    site, day = options.what
+    plays: dict[str, list[dict[str, float]]] = {}
+    for number, (name, variant) in enumerate(chosen(options.variant, ("choice", "bench")).items()):
+        where = copy(variant, folder / str(number))
+        subprocess.run(["git", "init", "-q", str(where)], check=True)
+        plays[name] = [
+            played_day(where, options.bench.resolve(), Path(site).resolve(), day, seed)
+            for seed in range(options.seeds)
+        ]
+    print(table(f"{Path(site).stem}, {day}", plays))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("what", nargs="+", help="scenes, or with --bench a site file and a day")
+    parser.add_argument("--bench", type=Path)
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=24.0)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--variant", action="append", default=[])
+    parser.add_argument("--folder", type=Path, help="where copies are laid; a temporary one otherwise")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(dir=options.folder) as folder:
+        (days if options.bench else scenes)(options, Path(folder))
+
+
+if __name__ == "__main__":
+    main()
