The gate's threshold is a third of the slots of an upstream, two at the least

Change: the threshold grows with the slots that the list tells; the planted fault of late orders knows changes of named items.

--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -143,7 +143,7 @@
         balancer = ServingBalancer(self.names, own, seed, 0, repeats, f"edge-{number}")
         balancer.sidecars = self.edges
         balancer.record = self.told
-        balancer.slots = self.settings.slots
+        balancer.sized(self.settings.slots)
         return balancer
 
     def relist(self, now: float) -> None:
--- a/shedgrade/dataplane/service.py
+++ b/shedgrade/dataplane/service.py
@@ -70,7 +70,7 @@
         then on, as it may be, whatever the list that lags says."""
         now, rows, leaving = self.clock.now(), [], []
         instances = list(instances)
-        self.balancer.slots = min((one.slots for one, _ in instances if one.slots > 0), default=0)
+        self.balancer.sized(min((one.slots for one, _ in instances if one.slots > 0), default=0))
         for one, cold_left in instances:
             region = region_of.get(one.zone)
             host, _, port = one.address.rpartition(":")
--- a/shedgrade/serving/balancer.py
+++ b/shedgrade/serving/balancer.py
@@ -48,7 +48,6 @@
     """`decide.Balancer` for streams of a model: no windows and no times foreseen, as an upstream's batch
     takes what comes; places are kept until a stream ends."""
     handle = ServingRpc
-    threshold = 2.0
 
     def __init__(self, regions: list[str], own: int, seed: int, now: int, repeats: Repeats,
                  name: str = "") -> None:
--- a/shedgrade/serving/others.py
+++ b/shedgrade/serving/others.py
@@ -8,6 +8,7 @@
 from shedgrade.serving.request import ServingRpc
 
 SLOTS_SHARE = 1 / 3  # of an upstream's slots in use on the mean, from which on a region may be dropped
+LEAST_THRESHOLD = 2.0  # requests in flight per upstream, where slots are few or not told
 RELIEF = 1.5  # times the load of the least loaded region: below it, going there gains less than the way costs
 
 
@@ -21,6 +22,12 @@
 
     others: dict[int, int]  # by upstream
     slots = 0  # requests that an upstream works on at a time; 0: not told
+    threshold = LEAST_THRESHOLD  # of the mechanism's gate
+
+    def sized(self, slots: int) -> None:
+        """So many requests each upstream works on at a time; 0: not told."""
+        self.slots = slots
+        self.threshold = max(LEAST_THRESHOLD, SLOTS_SHARE * slots)
 
     def own_loads(self) -> Iterator[tuple[int, int]]:
         """By mark, what this edge has in flight, with the weight of prompts that are not read yet."""
@@ -55,7 +62,7 @@
         """The worst region by what all edges have in flight per ready upstream, if that is at the threshold
         and another one is much better.
 
-        Each request has a threshold of its own, between SLOTS_SHARE and twice that: guards against a fleet
+        Each request has a threshold of its own, between the gate's and twice that: guards against a fleet
         that leaves a region all at once, and all at once comes back.
         """
         if not self.slots or not self.others:
@@ -65,5 +72,5 @@
             return None
         worst = max(zones, key=self.load_of)
         load, least = self.load_of(worst), min(self.load_of(zone) for zone in zones)
-        threshold = SLOTS_SHARE * self.slots * (1.0 + self.chance())
-        return worst.number if load >= threshold and load >= RELIEF * least else None
+        crowded = load >= self.threshold * (1.0 + self.chance())
+        return worst.number if crowded and load >= RELIEF * least else None
--- a/tests/serving/test_serving_choice.py
+++ b/tests/serving/test_serving_choice.py
@@ -227,23 +227,34 @@
 
 def test_a_region_that_all_edges_together_crowd_is_dropped():
     made = balancer(own=0)
-    made.slots = 16
+    made.sized(16)
     busy(made, u0=16, u1=16, u2=1)
     assert {take(made)[1][0] for _ in range(8)} <= {2, 3}
     busy(made, u0=5, u1=5)      # under a third of the slots
     assert take(made)[1][0] in (0, 1)
 
 
+def test_the_threshold_grows_with_the_slots_of_upstreams():
+    """Two requests are much to one that works on six at a time, and nothing to one that works on 64."""
+    made = balancer()
+    made.sized(64)
+    assert {take(made)[1][0] for _ in range(40)} == {0, 1}
+    assert {take(made)[1][0] for _ in range(10)} >= {2, 3}
+    made = balancer()
+    made.sized(6)
+    assert {take(made)[1][0] for _ in range(4)} == {0, 1} and take(made)[1][0] in (2, 3)
+
+
 def test_a_crowded_region_is_kept_to_where_the_others_are_little_better():
     made = balancer(own=0)
-    made.slots = 16
+    made.sized(16)
     busy(made, u0=16, u1=16, u2=13, u3=13)
     assert {take(made)[1][0] for _ in range(3)} <= {0, 1}
 
 
 def test_between_a_third_of_the_slots_and_two_a_part_goes_elsewhere():
     made = balancer(own=0)
-    made.slots = 16
+    made.sized(16)
     regions = []
     for number in range(200):
         busy(made, u0=8, u1=8)
@@ -256,11 +267,11 @@
 
 def test_where_all_regions_are_crowded_requests_are_still_served():
     made = balancer(own=0)
-    made.slots = 4
+    made.sized(4)
     busy(made, u0=40, u1=40, u2=50, u3=50)
     assert take(made)[1][0] in (0, 1)
     only = balancer(ups=((0, 0), (1, 0)))
-    only.slots = 4
+    only.sized(4)
     busy(only, u0=40, u1=40)
     assert take(only)[1][0] in (0, 1)
 
@@ -269,7 +280,7 @@
     made = balancer(own=0)
     busy(made, u0=90, u1=90)
     assert take(made)[1][0] in (0, 1)
-    made.slots = 16
+    made.sized(16)
     busy(made)
     assert take(made)[1][0] in (0, 1)
 
--- a/tests/simulation/planted_system_faults.py
+++ b/tests/simulation/planted_system_faults.py
@@ -52,7 +52,7 @@
         decide = make_decide(zones)
 
         def careless(state, order):
-            if isinstance(order, orders.PutConfiguration):
+            if not isinstance(order, orders.ZoneOrder):
                 return decide(state, order)
             current = orders.zone_revisions(state).get(order.zone, 0)
             return decide(state, type(order)(order.zone, current))
