Tests: loads and changes of named items between real planes

Change: three control planes and two data planes on loopback, where an edge learns through the core what the other has in flight, also after the member that they report to is gone, and where a change of named items is taken once and reaches every edge.

--- a/tests/system/test_planes_together.py
+++ b/tests/system/test_planes_together.py
@@ -166,3 +166,53 @@
         await until(lambda: all(edge.asker.version == 3 for edge in system.edges.values()))
         await system.resolved(CORES[0], BOTH)
     play(story)
+
+
+def test_edges_learn_through_the_core_what_the_others_have_in_flight(play):
+    """Also after the member that they report to is gone; and they forget it when all of the core is."""
+    def load(edge, change):
+        balancer = edge.services["lm"].balancer
+        balancer.count_in(balancer.ups[0], change, 0)
+        return balancer.ups[0].mark
+
+    async def story(system):
+        one, other = (system.edges[number] for number in EDGES)
+        seen = other.services["lm"].balancer
+        mark = load(one, 5)
+        mine = load(other, 1)       # an edge without a request in flight asks for nothing
+        await until(lambda: other.others.loads.get(mark) == 5)
+        assert sum(seen.others.values()) == 5
+        await until(lambda: one.others.loads == {mine: 1})
+        load(one, -3)
+        await until(lambda: other.others.loads == {mark: 2})
+
+        gone = next(number for number, core in system.cores.items()
+                    if core.own == one.asker.main.address)
+        await system.close_core(gone)
+        load(one, 5)
+        await until(lambda: other.others.loads.get(mark) == 7)
+
+        for number in list(system.cores):
+            await system.close_core(number)
+        await until(lambda: not other.others.loads and not seen.others)
+        assert await system.served(EDGES[1], "id-without") == (200, WHOLE)
+    play(story)
+
+
+def test_a_change_of_named_items_reaches_every_edge_and_is_taken_once(play):
+    async def story(system):
+        change = orjson.dumps({"configVersion": 4, "addModify": {"routeList": [
+            {**orjson.loads(configuration(1))["routeList"][0], "timeoutMs": 1500},
+            {**orjson.loads(configuration(1))["routeList"][0], "name": "new", "pathPrefix": "/new/"}]}})
+        for _ in range(2):
+            assert await system.acknowledged("PATCH", "/configuration", change, "If-Match: 1") == 200
+        await until(lambda: all(edge.asker.version == 4 for edge in system.edges.values()))
+        for edge in system.edges.values():
+            assert edge.routes.find(b"rota.example", b"/a/1").timeout_ms == 1500
+            assert edge.routes.find(b"rota.example", b"/new/1").timeout_ms == 4000
+        assert await system.put(5, 1) == 412
+        assert await system.acknowledged("PATCH", "/configuration", b'{"configVersion": 6, "remove":'
+                                         b'{"serviceList": ["lm"]}}', "If-Match: 4") == 400
+        held = orjson.loads((await system.read(system.primary()))[1])
+        assert held["configVersion"] == 4 and [one["name"] for one in held["routeList"]] == ["r", "new"]
+    play(story)
