Tests of many processes killed at once; checks hold for the new modules

Change: the whole core is killed right after changes of either sort are acknowledged, with one and two losses tolerated; twelve of sixteen edges, with the core and without, start together, and asks and the platform's calls stay bounded. Formatter and wider lint hold for loads, benchmarks and their tests.

--- /dev/null
+++ b/tests/simulation/test_killed_at_once.py
@@ -0,0 +1,65 @@
+"""Many processes killed at once, in the simulated system: what was acknowledged stays, and nobody is stormed.
+
+Source: LATER of the new customer, "Settings of a process" and "Losses": irrespective of what is tolerated,
+every process of the core may be killed at the same moment and return within a second, disks kept; a kill may
+take many processes at once.
+"""
+
+import pytest
+
+from shedgrade.controlplane.delivery import WatchHub
+from shedgrade.simulation.system.script import Script
+
+RECOVERS = 12.0  # s
+READY_AGAIN = 3.0  # s from the return of the last process
+ASKS_PER_EDGE = 40  # in READY_AGAIN: two members at a start, then one each time that something moves
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("tolerated", [1, 2])
+def test_the_whole_core_is_killed_right_after_a_change_of_either_sort(seed, tolerated):
+    script = Script(seed=seed, tolerated=tolerated, edges=4)
+    script.until_ready()
+    world, random = script.world, script.world.random
+    for version in range(2, 6):
+        script.operator.made = version  # every third change is of named items
+        change = script.call(script.operator.put(version - 1, version, f"change-{version}"))
+        assert script.run_until(lambda change=change: change.acknowledged, RECOVERS)
+        script.faults.all_killed(world.cores, lambda: random.uniform(0.2, 0.9))
+        read = script.call(script.operator.get())
+        assert script.run_until(lambda read=read: read.status == 200, RECOVERS)
+        assert (read.body_version, read.body_key) == (version, f"change-{version}")
+    assert any(call.delta for call in world.history.calls)
+    assert script.run_until(lambda: script.everywhere(5), RECOVERS)
+    script.run(4.0)
+    assert script.findings() == []
+
+
+@pytest.mark.parametrize("with_core", [False, True])
+def test_a_herd_that_starts_together_storms_neither_core_nor_platform(with_core, monkeypatch):
+    asked = []
+    real = WatchHub.ask
+
+    def ask(self, now, message, reply, unread_s=0.0):
+        asked.append(now)
+        real(self, now, message, reply, unread_s)
+
+    monkeypatch.setattr(WatchHub, "ask", ask)
+    script = Script(seed=4, tolerated=1, edges=16)
+    script.until_ready()
+    script.run(2.0)
+    world = script.world
+    herd = [*world.edges[:12], *(world.cores if with_core else [])]
+    listed = world.platform.program.calls
+    asked.clear()
+    script.faults.all_killed(herd, lambda: 0.5)
+    script.run(0.5)
+    assert script.run_until(
+        lambda: all(edge.running and edge.program.ready() for edge in world.edges), READY_AGAIN
+    )
+    script.run(READY_AGAIN)
+    seconds = 0.5 + 2 * READY_AGAIN
+    assert len(asked) <= len(world.edges) * ASKS_PER_EDGE
+    settings = world.cores[0].program.settings
+    assert world.platform.program.calls - listed <= settings.cloud_api.rate_per_s * seconds
+    assert script.findings() == []
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -11,6 +11,8 @@
     "tests/tools",
     "shedgrade/boot",
     "shedgrade/link",
+    "shedgrade/loads",
+    "shedgrade/serving/others.py",
     "shedgrade/matching",
     "shedgrade/membership",
     "shedgrade/storage",
@@ -23,7 +25,10 @@
     "shedgrade/simulation/crash_points.py",
     "shedgrade/simulation/system/clients.py",
     "shedgrade/simulation/system/directory_checkers.py",
+    "benchmarks/ablation.py",
+    "benchmarks/choice.py",
     "benchmarks/own_days.py",
+    "tests/loads",
     "tests/storage",
     "tests/controlplane/test_delta.py",
     "tests/dataplane/test_draining.py",
@@ -34,6 +39,7 @@
     "tests/simulation/test_directory_homes.py",
     "tests/simulation/test_edge_ends.py",
     "tests/simulation/test_fleet_count.py",
+    "tests/simulation/test_killed_at_once.py",
     "tests/simulation/test_looks_go_on.py",
 )
 TYPED = (
@@ -52,6 +58,7 @@
     "shedgrade/simulation/system/directory_checkers.py",
     "shedgrade/dataplane/draining.py",
     "shedgrade/dataplane/service_times.py",
+    "benchmarks/ablation.py",
     "benchmarks/own_days.py",
 )
 WIDER_RULES = "C4,PERF,PIE,RET,RUF021,SIM"  # beside those of pyproject.toml
