--- a/tests/system/test_planes_together.py
+++ b/tests/system/test_planes_together.py
@@ -177,6 +177,7 @@
 
     async def story(system):
         one, other = (system.edges[number] for number in EDGES)
+        await until(lambda: one.ready() and other.ready())      # both know the list
         seen = other.services["lm"].balancer
         mark = load(one, 5)
         mine = load(other, 1)       # an edge without a request in flight asks for nothing
