A test of the bar of a busy holder, which nothing held

Change: a holder four above idle ones is kept to while its parts weigh three. Result: green now, red with the weight taken out.

--- a/tests/serving/test_serving_choice.py
+++ b/tests/serving/test_serving_choice.py
@@ -300,3 +300,11 @@
     assert made.released() and made.zones[0].held == 2
     busy(made)
     assert made.zones[0].held == made.zones[1].held == 0
+
+
+def test_a_busy_holder_is_kept_to_while_reading_anew_would_weigh_more():
+    made = balancer(ups=((0, 0), (1, 0), (2, 0), (3, 0)))
+    usual = take(made, key=b"p:6144", shared=6144, tokens=6144)[1][0]
+    made = balancer(ups=((0, 0), (1, 0), (2, 0), (3, 0)))
+    busy(made, **{f"u{usual}": 4})
+    assert take(made, key=b"p:6144", shared=6144, tokens=6144)[1][0] == usual
