100 Continue is sent before a body that comes, and only then

Cause: the HTTP server of core members and edges' readiness wrote '100 Continue' behind the final answer of a request without a body that was pipelined with Expect, which a client reads as the head of its next answer; edges and the sidecar never wrote it where the expecting head had come in one piece with the request before, so client and server waited for each other. Change: an expectation ends with its request and counts only where a body is announced (RFC 9110, 10.1.1); a partial request is looked at once more when those ahead of it are answered.

--- a/shedgrade/http/inbound_connection.py
+++ b/shedgrade/http/inbound_connection.py
@@ -200,6 +200,7 @@
             elif self.incoming:
                 self.parse(self.incoming.parts()[0])
             else:
+                self.begin_partial_request()
                 break
         self.reading = False
 
@@ -213,20 +214,23 @@
             and isinstance(self.parsed_requests[0], RequestError)
         ):
             self.reject_partial_request()
-        elif (
-            self.request_begun
-            and self.head_complete
-            and self.request_flow is None
-            and self.active_request is None
-            and not (self.parsed_requests or self.closing)
+        else:
+            self.begin_partial_request()
+
+    def begin_partial_request(self) -> None:
+        """Begins what can be begun of a request whose body is still coming: a long one is taken up, a client
+        that waits for it is told to send. Not before the requests ahead of it are answered.
+        """
+        is_partial = self.request_begun and self.head_complete and self.request_flow is None
+        if not is_partial or self.active_request is not None or self.parsed_requests or self.closing:
+            return
+        if self.length > self.flow_above_bytes or (
+            self.length > PRESSED_QUEUE_BYTES and self.front.budget.pressed()
         ):
-            if self.length > self.flow_above_bytes or (
-                self.length > PRESSED_QUEUE_BYTES and self.front.budget.pressed()
-            ):
-                self.begin_flow()
-            elif self.expects_continue and not self.flushing:
-                self.expects_continue = False
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.begin_flow()
+        elif self.expects_continue and not self.flushing:
+            self.expects_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def reject_partial_request(self) -> None:
         """A long request turns out to be none: it is not forwarded to its end, so it never ran."""
--- a/shedgrade/http/server_connection.py
+++ b/shedgrade/http/server_connection.py
@@ -289,10 +289,15 @@
             self.reject(431, "has too long a head")
         elif int(self.headers.get(b"content-length", b"0")) > MAX_BODY_BYTES:
             self.reject(413, "has too long a body")
-        elif self.headers.get(b"expect", b"").lower() == b"100-continue":
+        elif self.headers.get(b"expect", b"").lower() == b"100-continue" and self.has_body():
             self.continue_pending = True
             self.send_continue()
 
+    def has_body(self) -> bool:
+        """Whether the head announces a body (RFC 9112, section 6.3)."""
+        length = self.headers.get(b"content-length", b"0")
+        return b"transfer-encoding" in self.headers or int(length) > 0
+
     def send_continue(self) -> None:
         """Answers a client that waits with its body; the answers before this one go first."""
         if self.continue_pending and not self.queue and self.current is None and not self.stops_parsing:
@@ -313,6 +318,7 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser: the request waits for its turn."""
+        self.continue_pending = False  # a request without a body asks for none: its answer is the final one
         if self.stops_parsing:
             return
         self.has_begun = False
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -45,6 +45,22 @@
     writer.write(whole(request, b"free: 4"))
 
 
+def test_a_body_behind_another_request_is_asked_for_once_that_is_answered():
+    """Both heads come in one piece: without an invitation the client waits, and its deadline passes."""
+
+    async def play():
+        async with sidecar(configuration(route()), Upstream("i-1", plain)) as plane:
+            client = await Client().open(plane)
+            waiting = request(name="id-2", Expect="100-continue").removesuffix(b"prompt")
+            client.send(request() + waiting)
+            first = await client.head(), await client.body()
+            invited = await client.head()
+            client.send(b"prompt")
+            return first, invited, (await client.head(), await client.body())
+
+    assert run(play()) == ((200, b"free: 4"), 100, (200, b"free: 4"))
+
+
 def test_a_stream_comes_back_unchanged_with_the_seal():
     async def play():
         upstream = Upstream("i-1", serve_all)
--- a/tests/sidecar/size/test_size.py
+++ b/tests/sidecar/size/test_size.py
@@ -425,6 +425,34 @@
         writer.close()
 
 
+@on_sockets
+async def test_a_body_behind_another_request_is_asked_for_once_that_is_answered():
+    """Both heads come in one piece, and nothing more before the client is told to go on."""
+    async with Sized(echo) as world:
+        reader, writer = await world.connect()
+        waiting = post("Content-Length: 3", "/m/1", "b", 15000, "1.1", "POST", "Expect: 100-continue")
+        writer.write(post("Content-Length: 3", name="a") + b"one" + waiting)
+        head, headers = await read_head(reader)
+        assert head[0].startswith("HTTP/1.1 200") and await read_body(reader, headers) == b"one"
+        assert (await asyncio.wait_for(read_head(reader), 5.0))[0][0] == "HTTP/1.1 100 Continue"
+        writer.write(b"two")
+        head, headers = await read_head(reader)
+        assert head[0].startswith("HTTP/1.1 200") and await read_body(reader, headers) == b"two"
+        writer.close()
+
+
+@on_sockets
+async def test_no_body_is_asked_for_behind_the_final_answer_of_a_request_without_one():
+    async with Sized(echo) as world:
+        reader, writer = await world.connect()
+        expecting = post("Content-Length: 0", "/m/1", "b", 15000, "1.1", "POST", "Expect: 100-continue")
+        writer.write(post("Content-Length: 0", name="a") + expecting + post("Content-Length: 0", name="c"))
+        for _ in range(3):
+            head, headers = await read_head(reader)
+            assert head[0].startswith("HTTP/1.1 200") and await read_body(reader, headers) == b""
+        writer.close()
+
+
 @on_sockets
 async def test_messages_cut_at_every_byte_are_the_same_messages():
     async with Sized(in_chunks) as world:
