A follower dates a heartbeat by the acknowledgement that it names, not by its arrival

Change: heartbeats carry the newest round whose ack their sender has; the follower dates them from its sending of that ack, by its own clock alone (acknowledgement_times.py). A first ack is answered at once. The age at which an edge asks others goes from 0.8 to 1.05 s, as the ages told are longer by one heartbeat interval.

--- a/shedgrade/dataplane/core_member.py
+++ b/shedgrade/dataplane/core_member.py
@@ -7,7 +7,10 @@
 
 REQUEST_TIMEOUT_S = 0.7  # beyond the time that a request may wait there, after which it counts as failed
 RESEND_GAP_S = 0.02  # between two requests to the same member
-STALE_CONTROL_S = 0.8  # since a member last heard the primary, beyond which others are asked too
+STALE_CONTROL_S = (
+    1.05  # of a member's control state, beyond which others are asked too: heartbeats 0.25 s apart, three
+)
+# of which lie between a state and what a follower may say of it (`replication.acknowledgement_times`)
 STALE_ENDPOINT_LIST_S = 2.5  # the same for the age of its endpoint list
 FIRST_BACKOFF_S = 0.1  # after a failure, doubled with each further one
 LONGEST_BACKOFF_S = 5.0
--- a/shedgrade/replication/acceptor.py
+++ b/shedgrade/replication/acceptor.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from shedgrade.replication.acknowledgement_times import AcknowledgementTimes
 from shedgrade.replication.chunking import CHUNK_BYTES
 from shedgrade.replication.messages import (
     Ack,
@@ -37,6 +38,7 @@
     granted a pre-vote before `granted_until`.
     `first_granted`: by candidate, when it was first granted a pre-vote since a primary was heard or it sent a
     Prepare. Empty while a primary is heard.
+    `acknowledgement_times`: of the rounds of the primary that is followed.
     """
 
     def __init__(self, member: Member) -> None:
@@ -45,6 +47,7 @@
         self.granted_to = 0
         self.granted_until = NEVER
         self.first_granted: dict[int, float] = {}
+        self.acknowledgement_times = AcknowledgementTimes()
 
     # --- pre-votes
 
@@ -186,9 +189,17 @@
             self.commit(heartbeat.epoch, heartbeat.committed)
             # One whose acks don't reach the primary hears heartbeats, and is sent no state.
             if self.member.replica.committed.position >= heartbeat.committed:
-                sent_at = now - self.member.receive_delay_s
-                self.member.confirm_up_to_date(sent_at - heartbeat.confirmed_ago)
+                self.member.confirm_up_to_date(self.sent_after(now, heartbeat) - heartbeat.confirmed_ago)
             self.send_ack(now, sender, heartbeat.epoch, heartbeat.read_index_round)
+            self.acknowledgement_times.note(now, heartbeat.epoch, heartbeat.read_index_round)
+
+    def sent_after(self, now: float, heartbeat: Heartbeat) -> float:
+        """The heartbeat was not sent before that time. Of an older version's, which doesn't say what reached
+        its sender, it is the time of arrival: its time under way is not told.
+        """
+        if heartbeat.acknowledged_round < 0:
+            return now - self.member.receive_delay_s
+        return self.acknowledgement_times.sent_after(heartbeat.epoch, heartbeat.acknowledged_round)
 
     def on_replicate(self, now: float, sender: str, write: Replicate) -> None:
         """Writes the next change of the epoch as a backup."""
--- a/shedgrade/replication/follower.py
+++ b/shedgrade/replication/follower.py
@@ -16,6 +16,7 @@
     `last_message_at`: when any message of it came; not reset by a new epoch.
     `known_since`: when it was first heard, at the earliest the beginning of the epoch.
     `read_index_round`: the newest round that it acknowledged without having promised a higher epoch.
+    `acknowledged_round`: the newest round of this epoch that it acknowledged, whatever it has promised.
     `known_epoch`: the newest epoch whose configuration it has, active.
     `promised_epoch`: the epoch number that it promised last.
     `is_healthy`, `is_leaving`: its disk works; it asked for its leave.
@@ -38,6 +39,7 @@
         "last_message_at",
         "known_since",
         "read_index_round",
+        "acknowledged_round",
         "known_epoch",
         "promised_epoch",
         "is_healthy",
@@ -63,6 +65,7 @@
         self.last_message_at = now
         self.known_since = now
         self.read_index_round = 0
+        self.acknowledged_round = 0
         self.known_epoch = 0
         self.promised_epoch = 0
         self.is_healthy = True
@@ -82,6 +85,7 @@
         """Nothing of the epochs before counts."""
         self.known_since = now
         self.read_index_round = 0
+        self.acknowledged_round = 0
         self.sent_sequence = -1
         self.received_sequence = -1
         self.durable_sequence = -1
--- a/shedgrade/replication/messages.py
+++ b/shedgrade/replication/messages.py
@@ -192,6 +192,8 @@
 
     `read_index_round` numbers the rounds that confirm the primary, 0 asks for no ack; `epoch_config` goes to
     who lacks it. `confirmed_ago`: seconds since a majority of the members confirmed the sender.
+    `acknowledged_round`: the newest round of this epoch whose ack of the receiver has come, 0 if none has; -1
+    from a primary of an older version, which doesn't say.
     """
 
     epoch: int
@@ -199,6 +201,7 @@
     committed: LogPosition
     epoch_config: EpochConfig | None
     confirmed_ago: float = 0.0
+    acknowledged_round: int = -1
 
 
 class Ack(Struct, frozen=True, tag="Ack", array_like=True):
--- a/shedgrade/replication/primary.py
+++ b/shedgrade/replication/primary.py
@@ -198,18 +198,19 @@
     def send_heartbeat_to(self, now: float, follower: Follower, read_index_round: int) -> None:
         """With the epoch's configuration, if it lacks that."""
         config = None if follower.known_epoch == self.epoch else self.member.replica.epoch_config
-        self.send_heartbeat(now, follower.address, read_index_round, config)
+        self.send_heartbeat(now, follower, follower.address, read_index_round, config)
 
     def send_heartbeat(
-        self, now: float, address: str, read_index_round: int, config: EpochConfig | None
+        self, now: float, follower: Follower, address: str, read_index_round: int, config: EpochConfig | None
     ) -> None:
-        """To one link address. `read_index_round`: 0 asks for no confirmation."""
+        """To a follower at that link address. `read_index_round`: 0 asks for no confirmation."""
         heartbeat = Heartbeat(
             self.epoch,
             read_index_round,
             self.member.replica.committed.position,
             config,
             now - self.majority_contact.confirmed_at,
+            follower.acknowledged_round,
         )
         self.member.send(address, heartbeat)
 
@@ -278,6 +279,11 @@
         if ack.promised_epoch <= self.epoch:
             self.majority_contact.round_acknowledged(ack.incarnation, ack.read_index_round)
             self.confirm(now)
+        if ack.read_index_round > follower.acknowledged_round:
+            is_first = not follower.acknowledged_round
+            follower.acknowledged_round = ack.read_index_round
+            if is_first:  # it can't tell how old a heartbeat is before it hears of its own ack
+                self.send_heartbeat_to(now, follower, 0)
         if ack.read_index_round > follower.read_index_round and ack.promised_epoch == self.epoch:
             follower.read_index_round = ack.read_index_round
             self.commands.answer(now)
@@ -301,7 +307,8 @@
         follower.last_message_at = now
         if incarnation not in self.holders:
             self.on_follower_heard(now, follower)
-        self.send_heartbeat(now, request.address, self.read_index_round, self.member.replica.epoch_config)
+        config = self.member.replica.epoch_config
+        self.send_heartbeat(now, follower, request.address, self.read_index_round, config)
 
     def update_location(self, now: float, follower: Follower, address: str, committed: LogPosition) -> None:
         """Where it is and what it knows: nothing, if it was started anew or lost its disk. What is on its way
--- /dev/null
+++ b/tests/replication/test_acknowledgement_times.py
@@ -0,0 +1,51 @@
+"""When a heartbeat can have been sent, by what its sender had heard."""
+
+from shedgrade.replication.acknowledgement_times import (
+    LEAST_BETWEEN_S,
+    NEVER,
+    TIMES_KEPT,
+    AcknowledgementTimes,
+)
+
+
+def acknowledged(*rounds):
+    times = AcknowledgementTimes()
+    for number, at in rounds:
+        times.note(at, 3, number)
+        times.check_invariants()
+    return times
+
+
+def test_a_heartbeat_was_sent_after_the_acknowledgement_that_it_names():
+    times = acknowledged((4, 10.0), (5, 10.25), (8, 10.5))
+    assert [times.sent_after(3, number) for number in (3, 4, 5, 7, 8, 9)] == [
+        NEVER,
+        10.0,
+        10.25,
+        10.25,
+        10.5,
+        10.5,
+    ]
+
+
+def test_nothing_is_known_of_another_epoch():
+    times = acknowledged((4, 10.0))
+    assert times.sent_after(2, 4) == times.sent_after(4, 4) == NEVER
+    times.note(11.0, 4, 1)
+    assert times.sent_after(3, 4) == NEVER and times.sent_after(4, 1) == 11.0
+
+
+def test_a_round_acknowledged_again_or_late_changes_nothing():
+    assert acknowledged((4, 10.0), (5, 10.25), (4, 10.5), (5, 10.75)).sent_after(3, 5) == 10.25
+
+
+def test_rounds_that_follow_fast_are_kept_as_the_first_of_them():
+    times = acknowledged((4, 10.0), (5, 10.0 + LEAST_BETWEEN_S / 2), (6, 10.0 + LEAST_BETWEEN_S))
+    assert times.sent_after(3, 5) == 10.0
+    assert times.sent_after(3, 6) == 10.0 + LEAST_BETWEEN_S
+
+
+def test_what_is_kept_is_bounded():
+    times = acknowledged(*((number, float(number)) for number in range(1, 2 * TIMES_KEPT)))
+    assert len(times.rounds) == TIMES_KEPT
+    assert times.sent_after(3, 1) == NEVER
--- a/tests/replication/test_member.py
+++ b/tests/replication/test_member.py
@@ -1,9 +1,10 @@
 """What a member says, and when: each promise after its sync, and nothing that it may have forgotten."""
 
 import msgspec
+import pytest
 from hand_net import SEEDS, Net, founded
 
-from shedgrade.replication import ReadResult, RedirectToPrimary, Unavailable, messages
+from shedgrade.replication import Decision, ReadResult, RedirectToPrimary, Unavailable, messages
 
 
 def sent(net, kind):
@@ -187,6 +188,64 @@
     assert isinstance(reading, ReadResult) and reading.state == {"k": b"v"}
 
 
+def test_a_refusal_waits_for_a_round_with_the_backups():
+    net = founded()
+    net.members[net.primary()].decide = lambda state, request: Decision({}, "refused")
+    net.call(net.primary(), "submit", 1, ("k", b"v"))
+    assert 1 not in net.answers
+    net.deliver()
+    assert net.answers == {1: "refused"}
+
+
+def test_all_that_a_backup_did_not_receive_is_sent_again():
+    net = founded()
+    primary, backup = net.primary(), net.backup()
+    net.drop = lambda sender, to, message: to == backup and type(message) is messages.Replicate
+    for ticket in (1, 2, 3):
+        net.call(primary, "submit", ticket, (f"k{ticket}", b"v"))
+    net.deliver()
+    net.drop = lambda sender, to, message: False
+    net.now += 0.31
+    net.call(primary, "tick")
+    assert [write.sequence for write in sent(net, messages.Replicate)] == [1, 2, 3]
+    net.deliver()
+    assert net.answers == {1: None, 2: None, 3: None}
+
+
+def test_a_follower_dates_a_heartbeat_from_before_its_sender_had_the_last_acknowledgement():
+    """However long it was under way: heartbeats held up for two seconds make nobody fresh."""
+    net = founded()
+    net.run(0.5)
+    held_up = []
+
+    def hold_up(sender, to, message):
+        if sender == net.primary() and to == witness and type(message) is messages.Heartbeat:
+            held_up.append(message)
+            return True
+        return False
+
+    witness = net.witness()
+    member, primary = net.members[witness], net.primary()
+    net.drop, cut_at = hold_up, net.now
+    net.run(0.3)
+    net.drop = lambda sender, to, message: to == witness or sender == witness
+    net.run(1.7)
+    for heartbeat in held_up:
+        net.call(witness, "receive", primary, heartbeat)
+    assert held_up and net.now - cut_at >= 2.0
+    assert cut_at - 1.0 < member.confirmed_at <= cut_at
+
+
+def test_a_heartbeat_of_an_older_version_is_dated_from_its_arrival():
+    net = founded()
+    witness, primary = net.witness(), net.primary()
+    member, replica = net.members[witness], net.members[primary].replica
+    heartbeat = messages.Heartbeat(1, 1_000, replica.committed.position, None, 0.2)
+    net.now += 0.1
+    net.call(witness, "receive", primary, heartbeat)
+    assert member.confirmed_at == pytest.approx(net.now - 0.2)
+
+
 def test_others_redirect_to_where_the_primary_is():
     net = founded()
     net.call(net.backup(), "submit", 1, ("k", b"v"))
