A primary or candidate that learns of a newer active epoch acts no more

Cause: a hint or a refusal with a newer active epoch was adopted while this process was still the active primary of an older one, whose rounds then counted the newer epoch's members; a candidate went on under a lower number and would have lowered its own promise. Change: Member.learn_epoch steps down first; an invariant says so. A Prepare above the own promise had stepped down before: that suspicion is refuted, but for a Prepare that is refused.

--- a/shedgrade/replication/acceptor.py
+++ b/shedgrade/replication/acceptor.py
@@ -116,7 +116,7 @@
         """Promises the candidate to accept nothing of a lower epoch, unless a higher one is promised."""
         member, replica = self.member, self.member.replica
         if prepare.epoch_config.active:
-            replica.adopt_epoch_config(now, prepare.epoch_config)
+            member.learn_epoch(now, prepare.epoch_config)
         if not member.is_voter():
             return  # a process that has forgotten, or was never named: its promise must not count
         number, candidate = prepare.number, prepare.incarnation
--- a/shedgrade/replication/member.py
+++ b/shedgrade/replication/member.py
@@ -377,6 +377,16 @@
         """At that time nothing was committed anywhere that is not committed here."""
         self.confirmed_at = max(self.confirmed_at, at)
 
+    def learn_epoch(self, now: float, config: m.EpochConfig) -> None:
+        """Another process knows this active epoch. One that acts in an older epoch, as primary or candidate,
+        acts no more: its own members and promises would be those of the newer one.
+        """
+        if self.is_primary_or_candidate():
+            own = self.primary_role.epoch if self.primary_role.active else self.candidate.number
+            if config.number > own:
+                self.step_down(now)
+        self.replica.adopt_epoch_config(now, config)
+
     # --- contact with the primary
 
     def note_primary_hint(self, now: float, address: str) -> None:
@@ -447,7 +457,7 @@
         """Somebody has promised a higher epoch than the one this process acts in."""
         self.highest_epoch_seen = max(self.highest_epoch_seen, refusal.promised_epoch)
         if refusal.epoch_config.active:
-            self.replica.adopt_epoch_config(now, refusal.epoch_config)
+            self.learn_epoch(now, refusal.epoch_config)
         is_own_epoch = self.primary_role.active and refusal.number == self.primary_role.epoch
         if not is_own_epoch or refusal.promised_epoch <= refusal.number:
             self.candidate.on_refusal(now, refusal)
--- a/shedgrade/replication/primary.py
+++ b/shedgrade/replication/primary.py
@@ -383,6 +383,7 @@
             return
         replica = self.member.replica
         assert replica.accepted_epoch == self.epoch, "leads an epoch whose state it doesn't hold"
+        assert replica.epoch_config.number == self.epoch, "leads an epoch older than one that it knows"
         assert self.followers.keys() >= set(self.holders), "a holder that is no follower"
         assert replica.incarnation not in self.holders, "holds the state twice"
         for incarnation in self.holders:
--- a/shedgrade/replication/reconfiguration.py
+++ b/shedgrade/replication/reconfiguration.py
@@ -124,7 +124,7 @@
         if config.active:
             if config.number > self.member.epoch:
                 self.join_request_at = min(self.join_request_at, now)  # members may be new who were not asked
-            self.member.replica.adopt_epoch_config(now, config)
+            self.member.learn_epoch(now, config)
         if hint.primary:
             self.member.note_primary_hint(now, hint.primary)
 
--- a/tests/replication/test_invariants.py
+++ b/tests/replication/test_invariants.py
@@ -1,5 +1,6 @@
 """`check_invariants` of a member and its parts: silent in a sound core, loud for each contradiction."""
 
+import msgspec
 import pytest
 from hand_net import founded
 
@@ -107,6 +108,12 @@
     member.disk_writer.in_flight = None
 
 
+def know_newer_epoch(member):
+    replica = member.replica
+    replica.promised_epoch = replica.promised_epoch._replace(number=9)
+    replica.epoch_config = msgspec.structs.replace(replica.epoch_config, number=9)
+
+
 CONTRADICTIONS = {
     "an epoch above the promise": forget_promise,
     "accepted an epoch that is not known": accept_unknown_epoch,
@@ -119,6 +126,7 @@
     "primary and candidate at once": campaign_as_primary,
     "a primary that follows another": follow_another_as_primary,
     "leads an epoch whose state it doesn't hold": lead_without_holding,
+    "leads an epoch older than one that it knows": know_newer_epoch,
     "a holder that is no follower": lose_holder,
     "holds the state twice": hold_twice,
     "durable before it was sent": trust_write_never_sent,
--- a/tests/replication/test_member.py
+++ b/tests/replication/test_member.py
@@ -246,6 +246,40 @@
     assert member.confirmed_at == pytest.approx(net.now - 0.2)
 
 
+def newer_epoch(net, address):
+    """An active epoch after the one that this member leads, of another primary."""
+    replica = net.members[address].replica
+    other = next(who for who in replica.epoch_config.holders if who != replica.incarnation)
+    return msgspec.structs.replace(replica.epoch_config, number=5, primary=other)
+
+
+LEARNT_FROM = {
+    "a hint": lambda config, who: messages.PrimaryHint(None, config),
+    "a candidate": lambda config, who: messages.Prepare(who, 6, config),
+    "a refusal": lambda config, who: messages.Refusal(who, 1, 5, config),
+}
+
+
+@pytest.mark.parametrize("source", LEARNT_FROM)
+def test_a_primary_that_learns_of_a_newer_active_epoch_acts_no_more(source):
+    net = founded()
+    primary, witness = net.primary(), net.witness()
+    message = LEARNT_FROM[source](newer_epoch(net, primary), net.members[witness].replica.incarnation)
+    net.call(primary, "receive", witness, message)
+    member = net.members[primary]
+    assert member.epoch == 5 and not member.is_primary_or_candidate()
+
+
+def test_a_candidate_that_learns_of_a_newer_active_epoch_gives_up():
+    net = founded()
+    witness, primary = net.witness(), net.primary()
+    member = net.members[witness]
+    net.call(witness, "start_election")
+    assert member.is_primary_or_candidate()
+    net.call(witness, "receive", primary, messages.PrimaryHint(None, newer_epoch(net, primary)))
+    assert member.epoch == 5 and not member.is_primary_or_candidate()
+
+
 def test_others_redirect_to_where_the_primary_is():
     net = founded()
     net.call(net.backup(), "submit", 1, ("k", b"v"))
