Chosen mutants, each with the test that kills it, run by one command

Cause: nothing showed which test would notice a given change. Four of the first list survived and got their tests: a message read before the incarnation is synced, a version equal to the one in place, a voter known by its address, an expectation behind an empty chunked body; an epoch below the promise had none either.

--- a/tests/controlplane/test_command_decisions.py
+++ b/tests/controlplane/test_command_decisions.py
@@ -108,6 +108,7 @@
     state.status(put(3, 0))
     assert decide(state, put(9, 1)).outcome == CommandReply(412, "version 3 is in place", "If-Match")
     assert decide(state, put(2, 3)).outcome == CommandReply(400, "is not above 3", "configVersion")
+    assert decide(state, put(3, 3, "other")).outcome == CommandReply(400, "is not above 3", "configVersion")
     assert decide(state, Evacuate("west")).outcome == CommandReply(404, "no such zone", "west")
 
 
--- a/tests/controlplane/test_control_http.py
+++ b/tests/controlplane/test_control_http.py
@@ -217,15 +217,18 @@
     play(story)
 
 
-@pytest.mark.parametrize("length", [b"", b"Content-Length: 0\r\n"])
-def test_no_body_is_asked_for_where_none_comes(play, length):
+@pytest.mark.parametrize(
+    ("length", "body"),
+    [(b"", b""), (b"Content-Length: 0\r\n", b""), (b"Transfer-Encoding: chunked\r\n", b"0\r\n\r\n")],
+)
+def test_no_body_is_asked_for_where_none_comes(play, length, body):
     """A `100 Continue` behind the final answer would be read as the head of the next one."""
 
     async def story(place):
         reader, writer = await place.open()
         writer.write(
             b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
-            b"GET /2 HTTP/1.1\r\nHost: h\r\n" + length + b"Expect: 100-continue\r\n\r\n"
+            b"GET /2 HTTP/1.1\r\nHost: h\r\n" + length + b"Expect: 100-continue\r\n\r\n" + body
         )
         assert [orjson.loads((await answered(reader))[2])[1] for _ in range(2)] == ["/1", "/2"]
         writer.write(b"GET /3 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n\r\n")
--- a/tests/replication/test_member.py
+++ b/tests/replication/test_member.py
@@ -94,6 +94,23 @@
     assert "state/k" not in net.disks[backup]
 
 
+def test_an_epoch_below_the_promise_is_not_installed():
+    net = founded()
+    backup, other = net.backup(), net.witness()
+    replica = net.members[backup].replica
+    candidate = net.members[other].replica.incarnation
+    net.call(backup, "receive", other, messages.Prepare(candidate, 9, replica.epoch_config))
+    holders = (candidate, replica.incarnation)
+    config = msgspec.structs.replace(
+        replica.epoch_config, number=5, primary=candidate, holders=holders, active=False
+    )
+    net.messages.clear()
+    install = messages.Install(config, messages.LogPosition(1, 1), None, {"k": b"v"})
+    net.call(backup, "receive", other, install)
+    assert replica.promised_epoch.number == 9 and replica.accepted_epoch == 1
+    assert not sent(net, messages.Installed) and [each.number for each in sent(net, messages.Refusal)] == [5]
+
+
 def test_a_member_whose_disk_was_lost_promises_nothing_before_an_epoch_names_it():
     net = founded()
     lost, candidate = net.witness(), net.backup()
@@ -118,6 +135,7 @@
     net.start("a:1", founding=True)
     net.call("a:1", "tick")
     net.call("a:1", "receive", "b:1", messages.JoinRequest(5, "b", "b:1", True, 0, (0, 0)))
+    net.call("a:1", "receive", "c:1", messages.JoinRequest(7, "c", "c:1", False, 0, (0, 0)))
     assert not net.messages
     net.write("a:1")
     assert sent(net, messages.JoinRequest)
--- a/tests/replication/test_member_parts.py
+++ b/tests/replication/test_member_parts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from shedgrade.replication import quorums
 from shedgrade.replication.effects import Send
 from shedgrade.replication.election_timer import JITTERS_PER_TURN, ElectionTimer
 from shedgrade.replication.messages import EpochConfig, HandOver, Peer
@@ -46,6 +47,14 @@
     assert not monitor.has_hint(5.5 + 2 * TIMING.join_request_interval_s)
 
 
+def test_a_voter_is_known_by_its_incarnation_and_a_founder_not_heard_yet_by_its_address():
+    member, founder = Peer(7, "a", "a:1"), Peer(0, "", "b:1")
+    assert quorums.matches(member, 7, "elsewhere:1", False)
+    assert not quorums.matches(member, 8, "a:1", False) and not quorums.matches(member, 8, "a:1", True)
+    assert quorums.matches(founder, 9, "b:1", True)
+    assert not quorums.matches(founder, 9, "b:1", False) and not quorums.matches(founder, 9, "c:1", True)
+
+
 def test_a_hint_at_the_own_address_is_none():
     monitor = PrimaryMonitor("a:1", TIMING)
     monitor.note_hint(5.0, "a:1")
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,152 @@
+"""Chosen mutants of the program, each of which a named test must kill.
+
+    python -m tools.mutants [--jobs N] [FILE]
+
+`tests/mutants.toml` lists them: one small change of one file, and the test that must fail with it. Each is
+made in a scratch copy of the repository, and only its test is run there. A mutant that survives, a change that no
+longer applies, and a test that fails without the change end the run with 1.
+
+The wide runs with a mutation testing tool (`docs/mutants.md`) take hours; this list keeps what they found.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from queue import Queue
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ("conftest.py", "deploy", "docs", "pyproject.toml", "shedgrade", "tests", "tools")
+TIMEOUT_S = 120.0  # of one test; one that hangs has noticed the change
+FAILED = 1  # pytest's exit status where a test failed
+
+
+class MutantListError(Exception):
+    """The list can't be read; the text says where."""
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One change. `before` stands in `file` exactly once; `killer`: the node id of the test."""
+
+    name: str
+    file: str
+    before: str
+    after: str
+    killer: str
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What became of a mutant. `problem`: empty if it was killed."""
+
+    mutant: Mutant
+    problem: str
+
+
+def read_mutants(path: Path) -> list[Mutant]:
+    """The list. MutantListError if a mutant lacks a field, or two have one name."""
+    mutants = []
+    for number, table in enumerate(tomllib.loads(path.read_text()).get("mutant", []), 1):
+        try:
+            mutants.append(Mutant(**table))
+        except TypeError as error:
+            raise MutantListError(f"mutant {number}: {error}") from error
+    names = [mutant.name for mutant in mutants]
+    if len(set(names)) < len(names):
+        raise MutantListError("two mutants have one name")
+    return mutants
+
+
+class ScratchCopy:
+    """A copy of the repository in which one mutant at a time is made. `changes`: how many were made."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.changes = 0
+        for name in COPIED:
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
+            else:
+                shutil.copy2(source, folder / name)
+
+    def write(self, file: str, text: str) -> None:
+        """Writes a module so that no compiled one of before is taken for it."""
+        self.changes += 1
+        path = self.folder / file
+        path.write_text(text)
+        changed_at = path.stat().st_mtime + 10.0 * self.changes
+        os.utime(path, (changed_at, changed_at))
+
+    def passes(self, test: str) -> bool | None:
+        """Whether the test passes here; None if it could not be run."""
+        command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", test]
+        try:
+            done = subprocess.run(command, cwd=self.folder, capture_output=True, timeout=TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            return False
+        return {0: True, FAILED: False}.get(done.returncode)
+
+    def judge(self, mutant: Mutant) -> Verdict:
+        """Makes the change, runs its test, and takes the change back."""
+        text = (ROOT / mutant.file).read_text()
+        if text.count(mutant.before) != 1:
+            return Verdict(mutant, f"{mutant.file}: found {text.count(mutant.before)} times, not once")
+        self.write(mutant.file, text.replace(mutant.before, mutant.after))
+        passed = self.passes(mutant.killer)
+        self.write(mutant.file, text)
+        if passed is None:
+            return Verdict(mutant, f"{mutant.killer} could not be run")
+        return Verdict(mutant, f"survives {mutant.killer}" if passed else "")
+
+
+def judge_all(mutants: list[Mutant], jobs: int) -> Iterator[Verdict]:
+    """All verdicts, in the order of the mutants."""
+    with tempfile.TemporaryDirectory(prefix="mutants-") as folder:
+        copies: Queue[ScratchCopy] = Queue()
+        for number in range(jobs):
+            place = Path(folder, str(number))
+            place.mkdir()
+            copies.put(ScratchCopy(place))
+
+        def judge(mutant: Mutant) -> Verdict:
+            copy = copies.get()
+            try:
+                return copy.judge(mutant)
+            finally:
+                copies.put(copy)
+
+        with ThreadPoolExecutor(jobs) as pool:
+            yield from pool.map(judge, mutants)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Prints a line for each mutant that lives, and how many were killed."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("file", nargs="?", type=Path, default=ROOT / "tests" / "mutants.toml")
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args(arguments)
+    try:
+        mutants = read_mutants(options.file)
+    except (OSError, ValueError, MutantListError) as error:
+        print(f"{options.file}: {error}")
+        return 1
+    living = [verdict for verdict in judge_all(mutants, options.jobs) if verdict.problem]
+    for verdict in living:
+        print(f"{verdict.mutant.name}: {verdict.problem}")
+    print(f"{len(mutants) - len(living)} of {len(mutants)} mutants killed")
+    return 1 if living else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
