--- a/shedgrade/simulation/machine.py
+++ b/shedgrade/simulation/machine.py
@@ -287,13 +287,13 @@
         effects = member.effects
         while effects:
             todo, effects[:] = list(effects), []
-            for effect in todo:
+            for done, effect in enumerate(todo, 1):
                 self.run_effect(effect)
                 if self.member is not member:  # a fault or a callback has ended the process
                     return
                 if self.frozen:
                     self.deferred_calls.append(self.run_effects)
-                    effects[:0] = todo[todo.index(effect) + 1 :]
+                    effects[:0] = todo[done:]
                     return
         self.schedule_tick(member)
 
