--- a/tests/replication/test_member.py
+++ b/tests/replication/test_member.py
@@ -92,6 +92,8 @@
     net.call(backup, "receive", primary, messages.Replicate(1, 1, (0, 0), {"k": b"v"}))
     assert [message.promised_epoch for message in sent(net, messages.Refusal)] == [9]
     assert "state/k" not in net.disks[backup]
+    net.call(backup, "receive", primary, messages.CatchUp(1, (1, 1), None, {"k": b"v"}))
+    assert [to for _, to, message in net.messages if type(message) is messages.Refusal] == [primary, primary]
 
 
 def test_an_epoch_below_the_promise_is_not_installed():
@@ -418,14 +420,37 @@
     return [(to, message) for _, to, message in net.messages if type(message) is messages.Ack]
 
 
-def test_a_write_behind_a_gap_is_acknowledged_up_to_the_gap():
+@pytest.mark.parametrize(("age_s", "healthy"), [(0.1, True), (1.0, False)])
+def test_a_write_behind_a_gap_is_acknowledged_up_to_the_gap(age_s, healthy):
+    """With the health of a disk that has been at work on the write before for so long."""
     net = founded()
     primary, backup = net.primary(), net.backup()
+    net.held_back.add(backup)
+    net.call(backup, "receive", primary, messages.Replicate(1, 1, (0, 0), {"k": b"v"}))
+    net.now += age_s
     net.messages.clear()
-    net.call(backup, "receive", primary, messages.Replicate(1, 2, (0, 0), {"k": b"v"}))
+    net.call(backup, "receive", primary, messages.Replicate(1, 3, (0, 0), {"l": b"v"}))
     ((to, ack),) = acks(net)
-    assert (to, ack.epoch, ack.read_index_round, ack.received_sequence) == (primary, 1, 0, 0)
-    assert net.members[backup].replica.state == {}
+    assert (to, ack.epoch, ack.read_index_round, ack.received_sequence) == (primary, 1, 0, 1)
+    assert ack.is_healthy is healthy and net.members[backup].replica.state == {"k": b"v"}
+
+
+def test_a_write_tells_what_is_committed():
+    net = founded()
+    primary, backup = net.primary(), net.backup()
+    net.call(backup, "receive", primary, messages.Replicate(1, 1, (0, 0), {"k": b"1"}))
+    assert net.members[backup].committed.state == {}
+    net.call(backup, "receive", primary, messages.Replicate(1, 2, (1, 1), {"k": b"2"}))
+    assert net.members[backup].committed == (1, 1, {"k": b"1"})
+
+
+def test_a_read_that_no_backup_confirms_ends():
+    net = founded()
+    primary, backup = net.primary(), net.backup()
+    net.drop = lambda sender, to, message: to == backup and type(message) is messages.Heartbeat
+    net.call(primary, "read", 1)
+    net.run(3.0)
+    assert isinstance(net.answers[1], ReadResult | Unavailable | RedirectToPrimary)
 
 
 def test_a_long_write_is_acknowledged_when_it_has_come_and_when_it_is_synced():
