--- a/tests/replication/test_member.py
+++ b/tests/replication/test_member.py
@@ -412,3 +412,89 @@
         for address in (backup, witness):
             net.call(address, "receive", "d:1", request)
     assert net.primary() in (backup, witness)
+
+
+def acks(net):
+    return [(to, message) for _, to, message in net.messages if type(message) is messages.Ack]
+
+
+def test_a_write_behind_a_gap_is_acknowledged_up_to_the_gap():
+    net = founded()
+    primary, backup = net.primary(), net.backup()
+    net.messages.clear()
+    net.call(backup, "receive", primary, messages.Replicate(1, 2, (0, 0), {"k": b"v"}))
+    ((to, ack),) = acks(net)
+    assert (to, ack.epoch, ack.read_index_round, ack.received_sequence) == (primary, 1, 0, 0)
+    assert net.members[backup].replica.state == {}
+
+
+def test_a_long_write_is_acknowledged_when_it_has_come_and_when_it_is_synced():
+    net = founded()
+    primary, backup = net.primary(), net.backup()
+    net.held_back.add(backup)
+    net.messages.clear()
+    net.call(backup, "receive", primary, messages.Replicate(1, 1, (0, 0), {"k": bytes(1 << 20)}))
+    ((to, ack),) = acks(net)
+    assert (to, ack.epoch, ack.read_index_round) == (primary, 1, 0)
+    assert (ack.received_sequence, ack.durable_sequence) == (1, 0)
+    net.messages.clear()
+    net.write(backup)
+    ((to, ack),) = acks(net)
+    assert (to, ack.epoch, ack.read_index_round, ack.durable_sequence) == (primary, 1, 0, 1)
+
+
+def test_a_refusal_names_the_epoch_that_is_refused_and_what_is_promised():
+    net = founded()
+    backup, primary, other = net.backup(), net.primary(), net.witness()
+    replica = net.members[backup].replica
+    candidate = net.members[other].replica.incarnation
+    net.call(backup, "receive", other, messages.Prepare(candidate, 9, replica.epoch_config))
+    net.messages.clear()
+    net.call(
+        backup, "receive", primary, messages.Prepare(replica.epoch_config.primary, 8, replica.epoch_config)
+    )
+    ((sender, to, refusal),) = net.messages
+    assert (sender, to) == (backup, primary)
+    assert refusal == messages.Refusal(replica.incarnation, 8, 9, replica.epoch_config)
+
+
+def test_committed_state_is_taken_from_the_base_that_is_named():
+    net = founded()
+    for ticket in (1, 2):
+        net.call(net.primary(), "submit", ticket, (f"k{ticket}", b"v"))
+        net.run(0.1)
+    witness, primary = net.witness(), net.primary()
+    committed = net.members[witness].committed
+    catch_up = messages.CatchUp(1, (1, 3), committed.position, {"k3": b"v"})
+    net.messages.clear()
+    net.call(witness, "receive", primary, catch_up)
+    assert net.members[witness].committed.state == {"k1": b"v", "k2": b"v", "k3": b"v"}
+    ((to, ack),) = acks(net)
+    assert (to, ack.epoch, ack.read_index_round, ack.committed) == (primary, 1, 0, (1, 3))
+
+
+def test_a_command_that_finds_no_room_waits_until_a_write_is_committed():
+    net = founded()
+    primary, backup = net.primary(), net.backup()
+    net.held_back.add(backup)
+    member = net.members[primary]
+    most = member.MAX_WRITES_IN_FLIGHT
+    for ticket in range(most + 3):
+        net.call(primary, "submit", ticket, (f"k{ticket}", b"v"))
+    pipeline = member.primary_role.commands
+    assert len(pipeline.in_flight) == most and len(pipeline.queue) == 3
+    net.held_back.clear()
+    net.run(0.2)
+    assert len(net.answers) == most + 3 and not pipeline.queue
+
+
+def test_a_long_write_has_longer_until_it_is_late_and_is_sent_again_later():
+    net = founded()
+    primary, backup = net.primary(), net.backup()
+    member = net.members[primary]
+    member.primary_role.commands.submit(net.now, 1, ("k", bytes(500_000)))
+    (write,) = member.primary_role.commands.in_flight
+    timing, transfer_s = member.timing, 500_000 / member.timing.bytes_per_second
+    follower = member.primary_role.followers[net.members[backup].replica.incarnation]
+    assert write.late_at == pytest.approx(net.now + timing.write_timeout_s + transfer_s)
+    assert follower.resend_at == pytest.approx(net.now + timing.resend_interval_s + transfer_s)
--- /dev/null
+++ b/tests/tools/test_mutants.py
@@ -0,0 +1,44 @@
+"""The list of chosen mutants is sound, and a mutant that lives, or does not apply, is told."""
+
+import pytest
+
+from tools.mutants import ROOT, Mutant, MutantListError, ScratchCopy, main, read_mutants
+
+LIST = ROOT / "tests" / "mutants.toml"
+
+
+@pytest.mark.parametrize("mutant", read_mutants(LIST), ids=lambda mutant: mutant.name)
+def test_each_change_stands_once_in_its_file_and_its_test_exists(mutant):
+    assert (ROOT / mutant.file).read_text().count(mutant.before) == 1
+    file, _, test = mutant.killer.partition("::")
+    assert (ROOT / file).exists() and f"def {test.partition('[')[0]}" in (ROOT / file).read_text()
+    assert mutant.before != mutant.after
+
+
+@pytest.mark.parametrize(
+    "text", ['[[mutant]]\nname = "a"\n', "no list", '[[mutant]]\nname = "a"\nfile = "f"\nkiler = "k"\n']
+)
+def test_a_list_that_can_not_be_read_is_named(text, tmp_path, capsys):
+    path = tmp_path / "mutants.toml"
+    path.write_text(text)
+    assert main([str(path)]) == 1
+    assert str(path) in capsys.readouterr().out
+
+
+def test_two_mutants_of_one_name_are_refused(tmp_path):
+    fields = 'name = "a"\nfile = "f"\nbefore = "b"\nafter = "c"\nkiller = "k"\n'
+    path = tmp_path / "mutants.toml"
+    path.write_text(f"[[mutant]]\n{fields}[[mutant]]\n{fields}")
+    with pytest.raises(MutantListError, match="one name"):
+        read_mutants(path)
+
+
+def test_a_mutant_that_lives_and_one_that_dies_are_told_apart(tmp_path):
+    copy = ScratchCopy(tmp_path)
+    file, test = "shedgrade/replication/quorums.py", "tests/replication/test_quorum_rules.py"
+    before = "return len(peers) // 2 + 1"
+    assert copy.judge(Mutant("dies", file, before, "return len(peers) // 2", test)).problem == ""
+    harmless = Mutant("lives", file, before, "return 1 + len(peers) // 2", test)
+    assert copy.judge(harmless).problem == f"survives {test}"
+    assert "not once" in copy.judge(Mutant("stale", file, "no such text", "", test)).problem
+    assert "could not be run" in copy.judge(Mutant("lost", file, before, "return 0", "tests/none.py")).problem
