--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -378,6 +378,11 @@
         }
         self.record(f"upstream {self.instance} of {self.service} at {host}:{port} in {self.zone}")
 
+    async def listen_again(self):
+        """Listens at the same address again, as the same incarnation."""
+        host, _, port = self.entry["address"].rpartition(":")
+        await self.listen(host, int(port))
+
     async def respond(self, writer, method, target, headers, body):
         if target in ("/health", "/report"):
             writer.write(reply(200, b"", [("Instance-Id", self.instance)]))
