Weights of any size are served in their exact proportion

Cause: an edge drew a number up to the sum of the weights and looked it up among cumulative sums. Doubles that small have no fractions, so the product reached the sum itself and the lookup ended beyond the last service (IndexError in choose_service). And the limit of 1e15, made for large times, also changed weights, of which only the proportion counts.

Change: Split.weight is an exact field. Route.weights returns whole numbers in the proportion of the weights, Route.shares their parts of one, and an edge keeps one boundary less than services, so that no draw is beyond the last. Validation, ctl explain and config diff use the same; a sum of weights beyond the doubles is no longer computed.

--- a/shedgrade/configuration.py
+++ b/shedgrade/configuration.py
@@ -17,14 +17,16 @@
 UNSAFE = "unsafe"
 STREAMING = "streaming"
 UNLIMITED = 1 << 30  # for limits that the operator leaves out
-# Numbers beyond this are used as this one: data planes multiply and add them, which must not overflow.
+# Times, sizes and rates beyond this are used as this one, which means the same (31,000 years in ms): data
+# planes multiply and add them, which must not overflow.
 LARGEST_NUMBER = 1e15
 
 
-def wire(name: str, kind: object, **default: Any) -> Any:
+def wire(name: str, kind: object, exact: bool = False, **default: Any) -> Any:
     """Declares a field that is called `name` on the wire. `kind`: str, int, float, bool, a model, or a list
-    with one of them. A field that is absent or null gets the default; if it has none, it is required."""
-    return field(metadata={"serde_rename": name, "kind": kind}, **default)
+    with one of them. `exact`: a number of any size is used as it is written, because only its proportion to
+    others counts. A field that is absent or null gets the default; if it has none, it is required."""
+    return field(metadata={"serde_rename": name, "kind": kind, "exact": exact}, **default)
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +34,7 @@
     """A service that gets a part of a route's requests, in proportion to the weights."""
 
     service: str = wire("service", str)
-    weight: float = wire("weight", float)
+    weight: float = wire("weight", float, exact=True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,15 +69,35 @@
     home_regions: list[str] = wire("homeRegions", [str], default_factory=list)
     rate_per_s: float = wire("ratePerS", float, default=0)
 
-    def weights(self) -> dict[str, float]:
-        """The weights of the route's services, by name; a service of weight 0 gets no requests."""
+    def weights(self) -> dict[str, int]:
+        """Whole numbers in the exact proportion of the weights of the route's services, by name. A service of
+        weight 0 gets no requests and is left out.
+
+        >>> halves = [Split("a", 0.5), Split("b", 0.25), Split("b", 0.25), Split("c", 0.0)]
+        >>> Route("host", "/", weighted_split=halves).weights()
+        {'a': 2, 'b': 2}
+        """
         if not self.weighted_split:
             return {self.service: 1}  # type: ignore[dict-item]  # validated: without a split it has a service
-        weights: dict[str, float] = {}
-        for split in self.weighted_split:
-            weights[split.service] = weights.get(split.service, 0) + split.weight
+        ratios = [(split.service, split.weight.as_integer_ratio()) for split in self.weighted_split]
+        # The denominator of a double is a power of two, so the largest one is a multiple of each.
+        denominator = max(divisor for _, (_, divisor) in ratios)
+        weights: dict[str, int] = {}
+        for service, (numerator, divisor) in ratios:
+            if numerator > 0:
+                weights[service] = weights.get(service, 0) + numerator * (denominator // divisor)
         return weights
 
+    def shares(self) -> dict[str, float]:
+        """The part of the route's requests that each service gets, by name.
+
+        >>> Route("host", "/", weighted_split=[Split("a", 5e-324), Split("b", 5e-324)]).shares()
+        {'a': 0.5, 'b': 0.5}
+        """
+        weights = self.weights()
+        total = sum(weights.values())
+        return {service: weight / total for service, weight in weights.items()}
+
     def is_idempotent(self) -> bool:
         """Whether a request may be retried at another upstream although the first may have executed it."""
         return self.route_class == SAFE or (self.route_class == STREAMING and self.resumable)
@@ -157,6 +179,7 @@
         kind: as given to `wire`.
         nested: model that the field holds one or a list of; None if it holds other values.
         required: whether it has no default.
+        exact: whether its number is used as it is written, whatever its size.
     """
 
     attribute: str
@@ -164,6 +187,13 @@
     kind: object
     nested: type | None
     required: bool
+    exact: bool = False
+
+    def limited(self, value: Any) -> Any:
+        """The value that is used for this one: a number up to LARGEST_NUMBER, unless the field is exact."""
+        if self.kind is not float or self.exact:
+            return value
+        return min(max(value, -LARGEST_NUMBER), LARGEST_NUMBER)
 
 
 @cache
@@ -176,23 +206,17 @@
         inner = kind[0] if isinstance(kind, list) else kind
         nested = inner if inner not in (str, int, float, bool) else None
         required = model_field.default is MISSING and model_field.default_factory is MISSING
-        return FieldLayout(model_field.name, model_field.metadata["serde_rename"], kind, nested, required)
+        metadata = model_field.metadata
+        return FieldLayout(
+            model_field.name, metadata["serde_rename"], kind, nested, required, metadata["exact"]
+        )
 
     return tuple(describe(model_field) for model_field in fields(model))
 
 
-def limited(value: float) -> float:
-    """The number that is used for this one, see LARGEST_NUMBER.
-
-    >>> limited(800), limited(1.7e308)
-    (800, 1000000000000000.0)
-    """
-    return min(max(value, -LARGEST_NUMBER), LARGEST_NUMBER)
-
-
 def build(model: type, data: dict[str, Any]) -> Any:
     """A model from a decoded JSON object that was validated before; unknown fields are ignored, and numbers
-    are limited to LARGEST_NUMBER."""
+    are limited as `FieldLayout.limited` says."""
     values = {}
     for model_field in layout(model):
         value = data.get(model_field.name)
@@ -206,9 +230,7 @@
             )
         elif model_field.kind is int:
             value = int(value)
-        elif model_field.kind is float:
-            value = limited(value)
-        values[model_field.attribute] = value
+        values[model_field.attribute] = model_field.limited(value)
     return model(**values)
 
 
--- a/shedgrade/controlplane/configuration_validation.py
+++ b/shedgrade/controlplane/configuration_validation.py
@@ -24,7 +24,6 @@
     Service,
     Split,
     layout,
-    limited,
 )
 from shedgrade.controlplane.references import References
 from shedgrade.controlplane.serde_without_numpy import SerdeError, deserialize, disabled, from_dict
@@ -150,6 +149,8 @@
             found = valid_fields(field.nested, found, f"{place}.{field.name}", findings)
         else:
             found = scalar(kind, found, f"{place}.{field.name}", findings)
+            if found is not None:
+                found = field.limited(found)  # what is checked here is what data planes use
         fields[field.name] = found
     return fields
 
@@ -170,9 +171,7 @@
     """Returns a value of type `kind`: a string, a number or a boolean. None, with a finding, if the value has
     another type. A whole number may also be written as 5.0."""
     found = type(value)
-    if kind is float and found in (float, int):
-        return limited(value)  # what is checked here is what data planes use
-    if found is kind:
+    if found is kind or (kind is float and found is int):
         return value
     if kind is int and found is float and value.is_integer():
         return int(value)
@@ -211,7 +210,8 @@
         for at, split in enumerate(splits):
             if split.weight < 0:
                 add(f"{place}.weightedSplit[{at}].weight", "is below 0")
-        if splits and sum(split.weight for split in splits) <= 0:
+        # Not by their sum, which may be beyond the range of doubles.
+        if splits and not any(split.weight > 0 for split in splits):
             add(f"{place}.weightedSplit", "has weights whose sum is not above 0")
 
 
--- a/shedgrade/controlplane/reachability.py
+++ b/shedgrade/controlplane/reachability.py
@@ -91,7 +91,7 @@
             RouteRequirements(
                 route.host.lower(),
                 not route.home_regions or self.region in route.home_regions,
-                frozenset(service for service, weight in route.weights().items() if weight > 0),
+                frozenset(route.weights()),
             )
             for route in parse(configuration).routes
         ]
--- a/shedgrade/ctl/differences.py
+++ b/shedgrade/ctl/differences.py
@@ -85,9 +85,7 @@
 
 def request_fractions(route: Route) -> dict[str, float]:
     """The fraction of the route's requests that each service gets, by name."""
-    weights = {name: weight for name, weight in route.weights().items() if weight > 0}
-    total = sum(weights.values())
-    return {name: weight / total for name, weight in sorted(weights.items())}
+    return dict(sorted(route.shares().items()))
 
 
 def format_split(route: Route) -> str:
--- a/shedgrade/ctl/explain.py
+++ b/shedgrade/ctl/explain.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from fractions import Fraction
 
 from shedgrade.configuration import Route, parse
 from shedgrade.ctl.client import ControlClient
@@ -13,6 +14,7 @@
 from shedgrade.route_matching.routes import RouteTree
 
 CountByRegion = dict[str, int]
+MAX_FRACTIONAL = 2**53  # above it, every double is a whole number
 
 
 def explain(options: Options, output: Output, connect: Callable[[], ControlClient]) -> ExitCode:
@@ -39,7 +41,7 @@
         "routeClass": route.route_class,
         "repeatable": route.is_idempotent(),
         "maxAttempts": route.max_attempts,
-        "weights": positive_weights(route),
+        "weights": written_weights(route),
         "homeRegions": route.home_regions,
         "evacuations": status["evacuations"],
         "upstreams": upstreams,
@@ -52,14 +54,24 @@
     return ExitCode.DONE
 
 
-def positive_weights(route: Route) -> dict[str, float]:
-    """The services that may get requests of the route, with their weights."""
-    return {name: weight for name, weight in route.weights().items() if weight > 0}
+def written_weights(route: Route) -> dict[str, float]:
+    """The services that may get requests of the route, with their weights as the configuration has them. The
+    weights of a service that it names several times are added."""
+    weights = dict.fromkeys(route.weights(), Fraction(0)) if route.weighted_split else {}
+    for split in route.weighted_split:
+        if split.service in weights:
+            weights[split.service] += Fraction(split.weight)
+    return {name: as_number(weight) for name, weight in weights.items()} or dict(route.weights())
+
+
+def as_number(value: Fraction) -> float:
+    """The number as JSON has it; beyond the range in which doubles have fractions, a whole number."""
+    return int(value) if value.denominator == 1 or value > MAX_FRACTIONAL else float(value)
 
 
 def count_upstreams(status: StatusDocument, route: Route) -> dict[str, CountByRegion]:
     """By service and region, the number of upstreams that may get requests; none in evacuated zones."""
-    counts: dict[str, CountByRegion] = {name: {} for name in positive_weights(route)}
+    counts: dict[str, CountByRegion] = {name: {} for name in route.weights()}
     for group in status["upstreams"]["byRegion"]:
         if group["service"] in counts and group["state"] == "available":
             by_region = counts[group["service"]]
@@ -84,11 +96,9 @@
 
 def describe_services(route: Route, upstreams: dict[str, CountByRegion], own_region: str | None) -> list[str]:
     """Each service with its percentage of the requests and its regions."""
-    weights = positive_weights(route)
-    total = sum(weights.values())
     lines = []
-    for name, weight in weights.items():
-        lines.append(f"{100 * weight / total:.3g}% to service {name}:")
+    for name, share in route.shares().items():
+        lines.append(f"{100 * share:.3g}% to service {name}:")
         lines += describe_regions(route, upstreams[name], own_region)
     return lines
 
--- a/shedgrade/dataplane/routes.py
+++ b/shedgrade/dataplane/routes.py
@@ -13,12 +13,12 @@
 
 
 class ServedRoute:
-    """A route prepared for requests: regions by number, services with their cumulative weights.
+    """A route prepared for requests: regions by number, services with their parts of [0, 1).
 
     Attributes:
         home_regions: numbers of the regions that may serve it; None for all.
         latency_target: tenths of a ms.
-        cumulative_weights: cumulative weights of `services`.
+        boundaries: where the part of each service but the first begins; one less than `services`.
         max_attempts: maximum number of upstreams that one request may be sent to.
         priority: 0 (highest) to 9; None for a route that is no stream.
         split_position: position in [0, 1) that the last request was given; None until the first.
@@ -33,7 +33,7 @@
         "latency_target",
         "timeout_ms",
         "services",
-        "cumulative_weights",
+        "boundaries",
         "max_attempts",
         "priority",
         "split_position",
@@ -50,8 +50,10 @@
             else None
         )
         self.latency_target, self.timeout_ms = int(route.target_ms * 10), max(1, int(route.timeout_ms))
-        weights = {name: weight for name, weight in route.weights().items() if weight > 0}
-        self.services, self.cumulative_weights = list(weights), list(accumulate(weights.values()))
+        weights = route.weights()
+        self.services = list(weights)
+        ends = list(accumulate(weights.values()))
+        self.boundaries = [end / ends[-1] for end in ends[:-1]]
         self.split_position: float | None = None
         self.max_attempts = max(1, route.max_attempts)
         self.priority = min(9, max(0, route.priority)) if self.streams else None
@@ -68,9 +70,7 @@
         self.split_position = (
             random.random() if self.split_position is None else (self.split_position + GOLDEN_RATIO) % 1.0
         )
-        return self.services[
-            bisect(self.cumulative_weights, self.split_position * self.cumulative_weights[-1])
-        ]
+        return self.services[bisect(self.boundaries, self.split_position)]
 
 
 class Routes:
--- a/tests/controlplane/test_configuration_validation.py
+++ b/tests/controlplane/test_configuration_validation.py
@@ -1,6 +1,7 @@
 """Configurations: what is read from them, what is invalid, and the places of the findings."""
 
 import copy
+import doctest
 import subprocess
 import sys
 from pathlib import Path
@@ -10,6 +11,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+import shedgrade.configuration
 from shedgrade.configuration import LARGEST_NUMBER, UNLIMITED, Configuration, Limits, Split, parse
 from shedgrade.controlplane.configuration_validation import encode_findings, read_configuration
 from shedgrade.findings import MAX_FINDINGS
@@ -384,3 +386,7 @@
     data = changed(("routeList", 0, "weightedSplit", [{"service": "huvo11a", "weight": 1}] * 2))
     route = accepted(data).routes[0]
     assert route.weights() == {"huvo11a": 2} and route.weighted_split == [Split("huvo11a", 1)] * 2
+
+
+def test_the_examples_in_the_doc_comments():
+    assert doctest.testmod(shedgrade.configuration).failed == 0
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -178,6 +178,23 @@
     assert "not home regions: north" in text
 
 
+def test_explain_prints_weights_of_any_size_and_their_shares(ctl):
+    weights = [("chat", 5e-324), ("other", 1e-323), ("chat", 5e-324), ("third", 0), ("other", 1e-323)]
+    split = [{"service": name, "weight": weight} for name, weight in weights]
+    services = ("chat", "other", "third")
+    split_route = route(service=None, weightedSplit=split)
+    ctl.stand_in.raw = json.dumps(configuration(7, [split_route], services=services)).encode()
+    assert json.loads(ctl("explain", "x.example", "/a/", "--json")[1])["weights"] == {
+        "chat": 1e-323,
+        "other": 2e-323,
+    }
+    text = ctl("explain", "x.example", "/a/")[1]
+    assert "33.3% to service chat" in text and "66.7% to service other" in text
+    split_route["weightedSplit"] = [{"service": "chat", "weight": 90}, {"service": "other", "weight": 10}]
+    ctl.stand_in.raw = json.dumps(configuration(8, [split_route], services=services)).encode()
+    assert '"weights": {"chat": 90, "other": 10}' in ctl("explain", "x.example", "/a/", "--json")[1]
+
+
 def test_explain_without_a_route_is_rejected(ctl, capsys):
     assert ctl("explain", "x.example", "/zzz/")[0] == 1 and "404" in capsys.readouterr().err
 
--- a/tests/system/test_accepted_configurations.py
+++ b/tests/system/test_accepted_configurations.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+from collections import Counter
 from random import Random
 from types import SimpleNamespace
 
@@ -35,6 +36,9 @@
     LARGEST_DOUBLE,
     -LARGEST_DOUBLE,
     5e-324,
+    1e-320,
+    9e15,
+    10**400,
     -1,
     2**53,
     2**63 - 1,
@@ -210,19 +214,40 @@
     apply(make_edge(), 5, raw)
 
 
-def test_shares_of_the_largest_weights_can_be_drawn():
-    split = [{"service": name, "weight": LARGEST_DOUBLE} for name in ("s", "t")]
-    raw = orjson.dumps(
-        {
-            "configVersion": 5,
-            "serviceList": [{"name": "s"}, {"name": "t"}],
-            "routeList": [{"host": "h", "pathPrefix": "/", "weightedSplit": split}],
-        }
-    )
+@pytest.mark.parametrize(
+    ("first", "second", "share"),
+    [
+        (LARGEST_DOUBLE, LARGEST_DOUBLE, 1 / 2),
+        (5e-324, 5e-324, 1 / 2),
+        (5e-324, 1.5e-323, 1 / 4),
+        (9e15, 1e15, 9 / 10),
+        (1e15, 4e18, 1 / 4001),
+        pytest.param(10**400, 10**400, 1 / 2, id="beyond doubles"),
+        pytest.param(10**399, 10**400, 1 / 11, id="beyond doubles, 1 to 10"),
+        pytest.param(10**400, 0.5, 1, id="beyond doubles, and a half"),
+        (90, 10, 9 / 10),
+    ],
+)
+@pytest.mark.parametrize("by_patch", [False, True])
+def test_an_accepted_split_is_served_as_its_weights_mean(first, second, share, by_patch):
+    """Guards against weights that are limited or rounded on the way from the operator to the request."""
+    split = [{"service": "s", "weight": first}, {"service": "t", "weight": second}]
+    route = {"name": "r", "host": "h", "pathPrefix": "/"}
+    services = [{"name": "s"}, {"name": "t"}]
+    whole = {"configVersion": 5, "serviceList": services, "routeList": [{**route, "weightedSplit": split}]}
+    if by_patch:
+        base = {**whole, "configVersion": 4, "routeList": [{**route, "service": "s"}]}
+        delta = {"configVersion": 5, "addModify": {"routeList": whole["routeList"]}}
+        assert read_delta(json.dumps(delta).encode()).is_ok()
+        raw = apply_delta(json.dumps(base).encode(), json.dumps(delta).encode(), 5).ok
+    else:
+        raw = json.dumps(whole).encode()
+    assert read_configuration(raw).is_ok()
     edge = make_edge()
     apply(edge, 5, raw)
-    route = edge.routes.find(b"h", b"/")
-    assert {route.choose_service(Random(1)) for _ in range(20)} == {"s", "t"}
+    served, random = edge.routes.find(b"h", b"/"), Random(1)
+    counts = Counter(served.choose_service(random) for _ in range(5000))
+    assert counts["s"] / 5000 == pytest.approx(share, abs=0.002)
 
 
 def test_a_patch_of_an_item_whose_name_is_null_changes_the_others():
