An exception of one request never leaves it without an answer

Cause: only steps of the dispatcher with the request among their arguments were guarded. An exception before a request is submitted ended the connection in the event loop; one in the call that gives the client its answer, or in the check of time limits, left the client waiting; one in a callback of the parser was answered 400. After one in the start of a long answer, its end was given as 200 with an empty body.

Change: a client's connection answers the request that it handles, 503 if nothing was sent and 502 otherwise, and resets the connection if a part of the answer was written. The dispatcher ends each request by one step, which is made once and falls back on the client's answer_failed; a step that fails ends its request after the actions of the pass. Attempts without an outcome are taken out of the balancer's counts, a connection whose check fails keeps no others from theirs.

--- a/shedgrade/dataplane/streams.py
+++ b/shedgrade/dataplane/streams.py
@@ -82,6 +82,14 @@
         """The current leg has failed, and its upstream may have processed the request."""
         self.connection.errored() if self.output is None else self.truncate()
 
+    def answer_failed(self) -> None:
+        """Ends the answer after an exception in the handling of the current leg."""
+        self.detach()
+        if self.output is None or self.ended:
+            self.connection.answer_failed()
+        else:
+            self.truncate()
+
     # --- forwarding of events
 
     def forward_received(self) -> None:
--- a/shedgrade/http/inbound_connection.py
+++ b/shedgrade/http/inbound_connection.py
@@ -9,6 +9,7 @@
 from shedgrade.http.response_writer import ResponseWriter
 from shedgrade.http.socket_state import hangup_poll, unread_in_kernel, unsent_bytes
 from shedgrade.runtime.log import logger
+from shedgrade.runtime.loop_errors import log_exception
 
 # Within this time a request body must advance by BODY_PROGRESS_BYTES while it is read; slow clients send four
 # times as much.
@@ -205,6 +206,15 @@
             self.consume(len(self.incoming))
             return
         self.reading = True
+        try:
+            self.handle_buffered_requests()
+        except Exception as failure:
+            self.fail_request(failure)
+        finally:
+            self.reading = False
+
+    def handle_buffered_requests(self) -> None:
+        """Parses and takes requests until one is pending or the buffered bytes are used up."""
         while True:
             if self.request_flow is not None:
                 if not self.incoming or self.request_flow.full() or self.parser is None:
@@ -224,7 +234,21 @@
             else:
                 self.begin_partial_request()
                 break
-        self.reading = False
+
+    def fail_request(self, failure: Exception) -> None:
+        """Answers the current request after an exception in its handling, and closes the connection.
+
+        A request that reached no dispatcher never ran. One that did is ended there.
+        """
+        log_exception("request handling failed", failure)
+        request = self.active_request
+        self.closing = True
+        if request is not None:
+            self.front.dispatcher.client_disconnected(request)
+        if self.response_due and (request is None or request.client_may_retry()):
+            self.exhausted(0)
+        else:
+            self.answer_failed()
 
     def parse(self, part: memoryview) -> None:
         """Parses bytes of the incoming ring, and starts what does not need the complete request."""
@@ -292,6 +316,7 @@
         flow.on_space = self.schedule_resume
         self.note_progress(self.bytes_received, self.front.loop.time())
         self.expects_continue = False
+        self.response_due = True
         self.take_request(self.parser.get_method(), self.target, self.headers, b"", flow)
 
     def schedule_resume(self) -> None:
@@ -317,6 +342,7 @@
     def take_next_request(self) -> None:
         """Handles the next complete request, or answers an invalid one."""
         request = self.parsed_requests.popleft()
+        self.response_due = True
         if isinstance(request, RequestError):
             self.request_method = b""
             self.closing = request.closing
--- a/shedgrade/http/request_parser.py
+++ b/shedgrade/http/request_parser.py
@@ -18,6 +18,7 @@
     content_length,
 )
 from shedgrade.in_flight import ActiveRequest, ActiveRequests
+from shedgrade.runtime.loop_errors import log_exception
 
 MAX_FRAMING_RATIO = 64  # bytes of framing for each byte of a body, beyond MAX_HEAD_BYTES
 FIRST_REQUEST_TIMEOUT_S = 2.0  # from the connection's start to that of its first request
@@ -199,6 +200,16 @@
     def parse_failed(self, error: httptools.HttpParserError) -> None:
         """Queues the error of invalid bytes, or the one that a callback below has raised."""
         cause = error.__context__
+        if isinstance(error, httptools.HttpParserCallbackError) and not isinstance(cause, RequestError):
+            # Not the client's fault. The part of the request that was forwarded may have run.
+            log_exception("request handling failed", cause)
+            if self.request_begun:
+                self.parsed_requests.append(RequestError(502))
+            elif self.parsed_requests:
+                self.parsed_requests[-1] = RequestError(502)
+            else:
+                self.closing = True  # a long request, which is complete and gets its response
+            return
         self.parsed_requests.append(cause if isinstance(cause, RequestError) else RequestError(400))
         if len(self.parsed_requests) > 1:
             # Guards against a Content-Length that is too short: requests that came in one read with invalid
--- a/shedgrade/http/response_writer.py
+++ b/shedgrade/http/response_writer.py
@@ -23,6 +23,7 @@
         chunked: the long response is sent with chunked transfer coding.
         lingering: all responses are written and sending has ended, but the client's kernel has not
             acknowledged all bytes.
+        response_due: a request was taken, and nothing of its response is written.
         request_method: method of the current request; b"" for an invalid one.
         http_1_0: the client speaks HTTP/1.0.
         bytes_written: all bytes that were written.
@@ -34,6 +35,7 @@
         self.chunked = False
         self.responding = False
         self.lingering = False
+        self.response_due = False
         self.request_method = b""
         self.http_1_0 = False
         self.bytes_written = 0
@@ -71,7 +73,9 @@
             framing = b"Transfer-Encoding: chunked"
         else:
             framing = b"" if answer.length is None else b"Content-Length: %d" % answer.length
-        if self.write(self.response_head(answer.status, answer.headers, framing)):
+        head = self.response_head(answer.status, answer.headers, framing)
+        self.response_due = False
+        if self.write(head):
             self.write_flow()
 
     def write_flow(self) -> None:
@@ -148,6 +152,26 @@
         """Answers the current request, which failed and may have run."""
         self.answer(502)
 
+    def answer_failed(self) -> None:
+        """Ends the current request after an exception in its answer: with another answer if nothing of the
+        first one was written. Otherwise the connection closes, and is reset if a long response has begun."""
+        self.closing = True
+        if self.response_due:
+            self.drop_response_flow()
+            self.answer(502)
+        elif self.responding or self.response_flow is not None:
+            self.break_off()
+        else:
+            self.transport.close()
+
+    def drop_response_flow(self) -> None:
+        """Discards a long response of which nothing was written."""
+        self.responding = False
+        if self.response_flow is not None:
+            self.response_flow.on_data = no_op
+            self.response_flow.discard()
+            self.response_flow = None
+
     def reject_and_close(self, status: int) -> None:
         """Answers an unusable request and closes the connection, so that the next one costs the client a new
         connection.
@@ -178,7 +202,9 @@
         if self.request_method == b"HEAD":
             body = b""
             framing = framing if length else b""
-        if self.write(self.response_head(status, headers, framing), body):
+        head = self.response_head(status, headers, framing)
+        self.response_due = False
+        if self.write(head, body):
             if self.request_flow is not None:
                 self.response_sent()
             else:
--- a/shedgrade/in_flight.py
+++ b/shedgrade/in_flight.py
@@ -57,7 +57,8 @@
     """One active request: its client, the request, the balancer's handle and the outstanding transmissions.
 
     The dispatcher knows nothing of the client's protocol. It ends a request by one call of
-    `client.completed(answer)`, `client.exhausted(wait)` or `client.errored()`. For a stream it calls
+    `client.completed(answer)`, `client.exhausted(wait)` or `client.errored()`; if that call raises an
+    exception, `client.answer_failed()` has to end the request in another way. For a stream it calls
     `client.opened(link)` before that; from then on the stream counts as in flight at its upstream, is never
     sent to another upstream, and its end at one side ends the other side. Before it sends anything the
     dispatcher calls `client.has_disconnected()`, and `client.close()` if the client has disconnected.
@@ -69,6 +70,7 @@
         "rpc",
         "transmissions",
         "done",
+        "answered",
         "stream_is_open",
         "gate_tickets",
         "client_name",
@@ -85,6 +87,7 @@
         self.client_name = client_name
         self.rpc = None
         self.done = False
+        self.answered = False  # one of the three calls that end a request was made
         self.stream_is_open = False
         self.is_body_incomplete = request.flow is not None  # the last byte of the body has not arrived
         self.timeout_ms = 0  # ms that the client waits, from the request's last byte
--- a/shedgrade/load_balancing/rpc.py
+++ b/shedgrade/load_balancing/rpc.py
@@ -381,6 +381,11 @@
         """
         return LONG_LIVED_WORK if self.long_lived else WORK_IN_FLIGHT
 
+    def drop_attempt(self, attempt: int) -> None:
+        """Takes away what an attempt adds to its upstream, whose outcome could not be recorded."""
+        if self.outstanding.pop(attempt, None) is not None:
+            self.move_load(self.attempts[attempt], self.attempt_load(), NO_LOAD)
+
     def move_load(self, upstream: Upstream, before: AttemptLoad, after: AttemptLoad) -> None:
         """Replaces what an attempt adds to the counts of its upstream."""
         if after != before:
--- a/shedgrade/request_dispatch.py
+++ b/shedgrade/request_dispatch.py
@@ -161,7 +161,7 @@
         self.scheduled = False
         now = self.clock.now()
         self.expire(now)
-        while self.events:
+        while self.events or self.actions:
             events, self.events = self.events, []
             for call, args in events:
                 self.guarded(call, now, *args)
@@ -171,38 +171,75 @@
                 self.guarded(call, *args)
         # An index is free for another upstream only now, as no queued event names it any more.
         for upstream in self.balancer.take_released():
-            self.release_upstream(upstream)
-        self.set_timer()
+            self.guarded(self.release_upstream, upstream)
+        self.guarded(self.set_timer)
         for observer in self.observers:
-            observer.after_pass(now, self.lag)
+            self.guarded(observer.after_pass, now, self.lag)
 
     def guarded(self, call: Callable, *args) -> None:
         """Calls `call`. An exception ends the requests among its arguments, not the process."""
         try:
             call(*args)
         except Exception as failure:
-            step = getattr(call, "__name__", repr(call))
-            logger.error("dispatch step failed", step=step, error=repr(failure))
+            self.log_fault(call, failure)
             for argument in args:
                 request = argument.active_request if isinstance(argument, Transmission) else argument
-                if isinstance(request, ActiveRequest) and not request.done:
-                    self.guarded(self.fail_after_fault, request)
+                if isinstance(request, ActiveRequest):
+                    # After the actions of this pass: the request's answer may be among them.
+                    self.actions.append((self.fail_after_fault, (request,)))
+
+    def log_fault(self, call: Callable, failure: Exception) -> None:
+        """Logs an exception of a step."""
+        step = getattr(call, "__name__", repr(call))
+        logger.error("dispatch step failed", step=step, error=repr(failure))
 
     def fail_after_fault(self, active_request: ActiveRequest) -> None:
         """Answers a request that met a fault, stops its attempts and ends it in the balancer."""
-        out = list(active_request.transmissions.values())
-        self.finish(active_request)
+        client = active_request.client
+        if not active_request.done:
+            out = list(active_request.transmissions.values())
+            self.guarded(self.finish, active_request)
+            for transmission in out:
+                self.guarded(self.connections.stop, transmission)
+                self.events.append(
+                    (self.on_attempt_finished, (transmission, load_balancing.STOPPED, None, self.clock.now()))
+                )
+            if active_request.rpc is not None:
+                self.guarded(active_request.rpc.client_disconnected, self.clock.now())
+        self.guarded(self.drop_untracked_attempts, active_request.rpc, active_request.transmissions)
         if active_request.stream_is_open:
-            active_request.client.completed(None)
+            self.answer(active_request, client.completed, None)
         else:
-            active_request.client.errored()
-        for transmission in out:
-            self.connections.stop(transmission)
-            self.events.append(
-                (self.on_attempt_finished, (transmission, load_balancing.STOPPED, None, self.clock.now()))
-            )
-        if active_request.rpc is not None:
-            active_request.rpc.client_disconnected(self.clock.now())
+            self.answer(active_request, client.errored)
+
+    def drop_untracked_attempts(
+        self, rpc: load_balancing.Rpc | None, transmissions: dict[int, Transmission]
+    ) -> None:
+        """Ends the attempts of which the balancer would not get an outcome: they are no transmissions any
+        more. They would count as in flight at their upstreams for good."""
+        for attempt in set(rpc.outstanding if rpc is not None else ()) - transmissions.keys():
+            rpc.drop_attempt(attempt)
+
+    def answer(self, active_request: ActiveRequest, call: Callable, *args) -> None:
+        """Ends a request for its client, once. `call`: the method of its client that does it."""
+        if active_request.answered:
+            return
+        active_request.answered = True
+        try:
+            call(*args)
+        except Exception as failure:
+            self.log_fault(call, failure)
+            self.guarded(active_request.client.answer_failed)
+
+    def start_answer(self, active_request: ActiveRequest, call: Callable, *args) -> None:
+        """Passes the start of a long answer or of a stream to the client. `call`: its method that takes it.
+        After an exception the rest is not passed on, which the client would take for a complete answer."""
+        try:
+            call(*args)
+        except Exception as failure:
+            self.log_fault(call, failure)
+            self.answer(active_request, active_request.client.answer_failed)
+            self.actions.append((self.fail_after_fault, (active_request,)))
 
     def decide_due(self, now: int) -> None:
         """Decides again on every request that is due."""
@@ -258,7 +295,7 @@
             if isinstance(got, int):
                 self.finish(active_request)
                 wait = min(got, self.balancer.max_retry_after)
-                self.actions.append((active_request.client.exhausted, (wait,)))
+                self.actions.append((self.answer, (active_request, active_request.client.exhausted, wait)))
                 return
             active_request.gate_tickets = (*active_request.gate_tickets, (gate, got, method, now))
         allowance = RESPONSE_ALLOWANCE + int(self.lag)
@@ -284,7 +321,7 @@
         if served:
             self.finish(active_request)
             whole = answer if outcome == load_balancing.COMPLETED else None
-            self.actions.append((active_request.client.completed, (whole,)))
+            self.actions.append((self.answer, (active_request, active_request.client.completed, whole)))
         took = (
             at if transmission.response_began_at is None else transmission.response_began_at
         ) - transmission.sent_at
@@ -328,7 +365,8 @@
         self.stop(
             now, active_request, [tx for tx in active_request.transmissions if tx != transmission.attempt]
         )
-        self.actions.append((active_request.client.response_flow_started, (answer,)))
+        client = active_request.client
+        self.actions.append((self.start_answer, (active_request, client.response_flow_started, answer)))
 
     def on_stream_opened(self, now: int, transmission: Transmission) -> None:
         """Passes an open stream to its client; the stream lasts until either side ends it."""
@@ -336,7 +374,8 @@
         if transmission.is_outstanding() and not active_request.done:
             active_request.stream_is_open, transmission.expires_at = True, load_balancing.inf
             active_request.rpc.response_started(True)
-            self.actions.append((active_request.client.opened, (transmission.link,)))
+            client = active_request.client
+            self.actions.append((self.start_answer, (active_request, client.opened, transmission.link)))
 
     def on_client_disconnected(self, now: int, active_request: ActiveRequest) -> None:
         """Ends the request of a client that has disconnected, and stops its attempts."""
@@ -380,9 +419,9 @@
             self.finish(active_request)
             client = active_request.client
             if what == load_balancing.EXHAUSTED:
-                self.actions.append((client.exhausted, (value,)))
+                self.actions.append((self.answer, (active_request, client.exhausted, value)))
             else:
-                self.actions.append((client.errored, ()))
+                self.actions.append((self.answer, (active_request, client.errored)))
 
     def add_expiry(self, transmission: Transmission, until: float) -> None:
         """Schedules a check of the attempt at that time, if it is finite."""
@@ -479,28 +518,31 @@
         """Ends transmissions whose time limit has passed, or whose connection was not established in time."""
         while self.expiries and self.expiries[0][0] <= now:
             transmission = heappop(self.expiries)[2]
-            if not transmission.is_outstanding():
-                continue
-            dialling = transmission.connect_expires_at is not None
-            if now < transmission.expires_at and not (dialling and now >= transmission.connect_expires_at):
-                continue
-            upstream = self.upstream_ids[transmission.upstream]
-            if now < (until := self.response_expires_at(transmission, now)):
-                transmission.expires_at = until
-                self.add_expiry(transmission, until)
-                continue
-            if self.connections.give_up(transmission):
-                self.connections.no_response_received(transmission)
-                outcome = load_balancing.TIMED_OUT
-                logger.debug("attempt timed out", upstream=upstream)
-            else:
-                # A request whose body is still arriving may be late by its client's fault.
-                upstreams_part = dialling or not transmission.active_request.is_body_incomplete
-                late = (
-                    upstreams_part
-                    and now >= (transmission.connect_expires_at or now)
-                    and not self.connections.uses_proxy
-                )
-                outcome = load_balancing.UNCONNECTED if late else load_balancing.UNSENT
-                logger.debug("attempt not sent in time", upstream=upstream)
-            self.events.append((self.on_attempt_finished, (transmission, outcome, None, now)))
+            if transmission.is_outstanding():
+                self.guarded(self.check_expiry, transmission, now)
+
+    def check_expiry(self, transmission: Transmission, now: int) -> None:
+        """Ends a transmission, unless its time limit was moved and it may still be connected."""
+        dialling = transmission.connect_expires_at is not None
+        if now < transmission.expires_at and not (dialling and now >= transmission.connect_expires_at):
+            return
+        upstream = self.upstream_ids[transmission.upstream]
+        if now < (until := self.response_expires_at(transmission, now)):
+            transmission.expires_at = until
+            self.add_expiry(transmission, until)
+            return
+        if self.connections.give_up(transmission):
+            self.connections.no_response_received(transmission)
+            outcome = load_balancing.TIMED_OUT
+            logger.debug("attempt timed out", upstream=upstream)
+        else:
+            # A request whose body is still arriving may be late by its client's fault.
+            upstreams_part = dialling or not transmission.active_request.is_body_incomplete
+            late = (
+                upstreams_part
+                and now >= (transmission.connect_expires_at or now)
+                and not self.connections.uses_proxy
+            )
+            outcome = load_balancing.UNCONNECTED if late else load_balancing.UNSENT
+            logger.debug("attempt not sent in time", upstream=upstream)
+        self.events.append((self.on_attempt_finished, (transmission, outcome, None, now)))
--- a/shedgrade/sidecar/tunnel/listener.py
+++ b/shedgrade/sidecar/tunnel/listener.py
@@ -171,6 +171,10 @@
         self.refuse("errored")
         self.finish()
 
+    def answer_failed(self) -> None:
+        """Closes the connection after an exception in one of the calls above."""
+        self.transport.abort()
+
     def has_disconnected(self) -> bool:
         """Whether the client has left, even if the event loop has not noticed. A half-close does not count:
         such a client may still want its tunnel."""
--- a/shedgrade/upstream_pool/front.py
+++ b/shedgrade/upstream_pool/front.py
@@ -7,6 +7,7 @@
 
 from shedgrade.buffers.budget import Budget
 from shedgrade.runtime.log import logger
+from shedgrade.runtime.loop_errors import log_exception
 
 if TYPE_CHECKING:
     from shedgrade.upstream_pool.pool import Pool
@@ -108,7 +109,11 @@
         self.checked_at = monotonic()
         now = self.loop.time()
         for connection in list(self.clients):
-            connection.check_timeouts(now)
+            try:
+                connection.check_timeouts(now)
+            except Exception as failure:  # one connection keeps no others from being checked
+                log_exception("connection check failed", failure)
+                connection.cut()
 
     def recently_stalled(self) -> bool:
         """Returns whether this process stalled a moment ago: data read now may have waited long."""
--- a/tests/ctl/test_on_call_lines.py
+++ b/tests/ctl/test_on_call_lines.py
@@ -18,18 +18,27 @@
 LEVELS = ("debug", "info", "warning", "error", "exception")
 
 
+def logs(call: ast.Call) -> bool:
+    """Whether this is a call on a logger or of `log_exception`, whose first argument is the event."""
+    if isinstance(call.func, ast.Name):
+        return call.func.id == "log_exception"
+    return (
+        isinstance(call.func, ast.Attribute)
+        and call.func.attr in LEVELS
+        and ast.unparse(call.func.value).endswith("logger")
+    )
+
+
 @cache
 def events() -> list[tuple[str, str]]:
-    """(module, event) of each call on a logger."""
+    """(module, event) of each call that logs."""
     return [
         (str(path.relative_to(ROOT)), node.args[0].value)
         for path in sorted((ROOT / "shedgrade").rglob("*.py"))
         if path.relative_to(ROOT).parts[1] not in NOT_SERVING
         for node in ast.walk(ast.parse(path.read_text()))
         if isinstance(node, ast.Call)
-        and isinstance(node.func, ast.Attribute)
-        and node.func.attr in LEVELS
-        and ast.unparse(node.func.value).endswith("logger")
+        and logs(node)
         and node.args
         and isinstance(node.args[0], ast.Constant)
     ]
