--- a/tests/ctl/test_on_call_lines.py
+++ b/tests/ctl/test_on_call_lines.py
@@ -37,10 +37,7 @@
         for path in sorted((ROOT / "shedgrade").rglob("*.py"))
         if path.relative_to(ROOT).parts[1] not in NOT_SERVING
         for node in ast.walk(ast.parse(path.read_text()))
-        if isinstance(node, ast.Call)
-        and logs(node)
-        and node.args
-        and isinstance(node.args[0], ast.Constant)
+        if isinstance(node, ast.Call) and logs(node) and node.args and isinstance(node.args[0], ast.Constant)
     ]
 
 
