An edge asks again for updates that it could not apply, and tells what is in force

A list that fails is worse: later deltas are applied to another list.

Cause: ReceivedState notes positions before anything is applied, and nothing told it of a failure. That any exception of one update leaves the others applied had no test.

Change: ControlExchange reports a rejected update as an event. Control state is requested again after a second by the position before its own, never an older one; requests, made anew when they are sent, name the version in force, which status shows; after a rejected list the whole one is requested. State.apply_configuration keeps the routes in force if it fails midway, also when settings are reloaded.

--- a/shedgrade/dataplane/control_client.py
+++ b/shedgrade/dataplane/control_client.py
@@ -82,6 +82,17 @@
     at: float
 
 
+class UpdateRejectedEvent(msgspec.Struct, frozen=True):
+    """The edge could not apply an update.
+
+    `configuration_version`: version of the configuration that is in force as a whole; -1 if none is.
+    """
+
+    at: float
+    update: Update
+    configuration_version: int
+
+
 Event = (
     EdgeChangedEvent
     | TickEvent
@@ -89,6 +100,7 @@
     | RequestFailedEvent
     | MembersDiscoveredEvent
     | OwnListAppliedEvent
+    | UpdateRejectedEvent
 )
 
 
@@ -176,6 +188,10 @@
                 self._add_unlisted(addresses)
             case OwnListAppliedEvent(at):
                 self.received.own_list_applied(at)
+            case UpdateRejectedEvent(at, update, version):
+                self.received.reject(at, update, version)
+                # Guards against a busy loop: the member answers at once with what could not be applied.
+                self.next_request_at = max(self.next_request_at, at + EARLY_PAUSE_S)
 
     def take_instructions(self) -> list[Instruction]:
         """Returns and clears the pending instructions: requests to send, then updates to apply."""
@@ -436,18 +452,23 @@
         wait_s = self.max_wait_s if member is self.preferred_member else 0.0
         self.request_number += 1
         member.add_request(now, self.request_number, wait_s)
+        self._requests.append(
+            SendWatchRequest(
+                member.address, self.request(now, wait_s), wait_s + REQUEST_TIMEOUT_S, self.request_number
+            )
+        )
+
+    def request(self, now: float, wait_s: float) -> WatchRequest:
+        """A request that names what this edge has now. `wait_s`: time for which the response may be held."""
         received = self.received
-        request = WatchRequest(
+        return WatchRequest(
             self.edge,
-            received.control,
+            received.requested_control(now),
             received.endpoint_list,
             wait_s,
             received.configuration_version,
             received.list_age_s(now),
         )
-        self._requests.append(
-            SendWatchRequest(member.address, request, wait_s + REQUEST_TIMEOUT_S, self.request_number)
-        )
 
     def _ask_all_before_release(self, now: float) -> None:
         """Releases withheld control state once every listed member was asked and has answered or failed, or
--- a/shedgrade/dataplane/control_exchange.py
+++ b/shedgrade/dataplane/control_exchange.py
@@ -14,6 +14,7 @@
     ResponseEvent,
     SendWatchRequest,
     TickEvent,
+    UpdateRejectedEvent,
     Watcher,
 )
 from shedgrade.dataplane.core_member import STALE_CONTROL_S
@@ -30,9 +31,10 @@
 class ControlExchange:
     """One edge's exchange with the core over `peer_connections`.
 
-    `apply`: called with the updates to apply, in order. `on_drain_target`: called for each response with the
-    edges that take over this edge's clients; NO_DRAIN_TARGET if the request didn't say that this edge is
-    leaving.
+    `apply`: called with the updates to apply, in order. `version_in_force`: returns the version of the
+    configuration that is in force as a whole, -1 if none is. `on_drain_target`: called for each response
+    with the edges that take over this edge's clients; NO_DRAIN_TARGET if the request didn't say that this
+    edge is leaving.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         watcher: Watcher,
         prefix_index: EdgePrefixIndex,
         apply: Callable[[tuple[Update, ...]], None],
+        version_in_force: Callable[[], int],
         on_drain_target: Callable[[str], None],
     ) -> None:
         self.peer_connections = peer_connections
@@ -49,6 +52,7 @@
         self._loop = loop
         self._prefix_index = prefix_index
         self._apply = apply
+        self._version_in_force = version_in_force
         self._on_drain_target = on_drain_target
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -85,18 +89,23 @@
         self.run_instructions()
 
     def _apply_updates(self, updates: tuple[Update, ...]) -> None:
-        """Applies each update by itself: one that can't be applied keeps none of the others out."""
+        """Applies each update by itself: one that can't be applied keeps none of the others out, and is
+        requested again."""
         for update in updates:
             try:
                 self._apply((update,))
             except Exception as error:
-                # Guards against state of another version: what is in force is kept.
+                # Any exception: an update is code and data of other versions, and what is in force is kept.
                 logger.error("control update rejected", update=type(update).__name__, error=repr(error))
+                self.watcher.handle_event(
+                    UpdateRejectedEvent(self._loop.time(), update, self._version_in_force())
+                )
 
     async def _send(self, instruction: SendWatchRequest) -> None:
         """Sends one request and reports the outcome to the watcher."""
         address = instruction.address
-        request = instruction.request
+        # Made anew: the updates that came with the instruction are applied or rejected by now.
+        request = self.watcher.request(self._loop.time(), instruction.request.wait_s)
         reads: tuple = ()
         if not instruction.is_probe:
             # A probe neither reports prefix reads nor requests the prefix cache index, since each member has
--- a/shedgrade/dataplane/plane.py
+++ b/shedgrade/dataplane/plane.py
@@ -89,6 +89,7 @@
             self.watcher,
             self.prefix_index,
             lambda updates: self.state.apply(updates),  # looked up at each call: simulations replace it
+            lambda: self.state.version_in_force(),
             self.shutdown.on_drain_target,
         )
         self.loads = LoadExchange(
--- a/shedgrade/dataplane/received_state.py
+++ b/shedgrade/dataplane/received_state.py
@@ -27,6 +27,7 @@
 NO_CONFIGURATION = -1
 # Time in which an edge without state asks other members before it applies stale state.
 FIRST_STATE_WAIT_S = 0.75
+REJECTED_RETRY_S = 1.0  # after which control state is requested again that could not be applied
 
 
 class ReceivedState:
@@ -34,9 +35,11 @@
 
     Attributes:
         control: position of the newest control state received, including withheld state.
-        configuration_version: version of the configuration in it; -1 until there is one.
-        endpoint_list: position of the endpoint list received; (0, 0) if there is none, or if the edge has
-            applied its own list, so that the next response brings a complete one.
+        configuration_version: version of the configuration in it; -1 until there is one. If that could not
+            be applied, version of the one in force.
+        request_again_at: when control state is requested again that could not be applied; inf if all was.
+        endpoint_list: position of the endpoint list received; (0, 0) if there is none, if it could not be
+            applied, or if the edge has applied its own list, so that the next response brings a complete one.
         list_floor: position of the last list received; lists below it are ignored.
         list_known_at: when the platform last reported that list; None until there is one.
         counts: edges and core members according to the last fresh response; None until there is one.
@@ -52,6 +55,7 @@
     __slots__ = (
         "control",
         "configuration_version",
+        "request_again_at",
         "endpoint_list",
         "list_floor",
         "list_known_at",
@@ -66,6 +70,7 @@
     def __init__(self) -> None:
         self.control: Position = NO_CONTROL
         self.configuration_version = NO_CONFIGURATION
+        self.request_again_at = inf
         self.endpoint_list: Position = NO_LIST
         self.list_floor: Position = NO_LIST
         self.list_known_at: float | None = None
@@ -102,9 +107,19 @@
             self.list_known_at = max(self.list_known_at, now - listed.age_s)
         return control is not None or newer_list
 
+    def requested_control(self, now: float) -> Position:
+        """The position to name in a request: state above it is sent. It is the one before the position of
+        state that is to be applied again."""
+        epoch, sequence = self.control
+        return (epoch, sequence - 1) if now >= self.request_again_at else self.control
+
     def newer_control(self, change: ControlChange | None) -> ControlChange | None:
         """The change to apply, uncompressed; None if it is not newer or can't be used."""
-        if change is None or (change.epoch, change.sequence) <= self.control:
+        if change is None:
+            return None
+        position = change.epoch, change.sequence
+        # The same state is taken once more if it could not be applied, but never an older one.
+        if position < self.control or (position == self.control and self.request_again_at == inf):
             return None
         configuration = decompress_configuration(change)
         if configuration is None and change.configuration_version != self.configuration_version:
@@ -131,6 +146,7 @@
     def take_control(self, now: float, change: ControlChange) -> None:
         """Records newer control state, which is withheld until `take` or `release_withheld` releases it."""
         self.control = change.epoch, change.sequence
+        self.request_again_at = inf
         self.configuration_version = change.configuration_version
         self.withheld.append(change)
         if not self.control_applied:
@@ -161,10 +177,31 @@
         self.endpoint_list = NO_LIST
         self.list_known_at = now
 
+    def reject(self, now: float, update: Update, version_in_force: int) -> None:
+        """Records that an update could not be applied, so that it is requested again.
+
+        `version_in_force`: version of the configuration that is in force as a whole; -1 if none is.
+        """
+        match update:
+            case ControlChange():
+                # A later change that is applied may have left out this configuration, as it was received.
+                if update.configuration_version == self.configuration_version:
+                    self.configuration_version = version_in_force
+                    self.request_again_at = now + REJECTED_RETRY_S
+            case EndpointUpdate():
+                # A delta to this list, or a later one, would be applied to something else.
+                self.endpoint_list = NO_LIST
+            case FleetView():
+                self.counts = None
+
     def check_invariants(self) -> None:
         """Checks the documented properties of the attributes. AssertionError if one doesn't hold."""
         assert not (self.withheld and self.control_applied), self.withheld
         assert bool(self.withheld) == (self.withheld_until < inf), self.withheld_until
-        assert (self.control == NO_CONTROL) == (self.configuration_version == NO_CONFIGURATION), self.control
+        if self.request_again_at == inf:
+            has_configuration = self.configuration_version != NO_CONFIGURATION
+            assert (self.control != NO_CONTROL) == has_configuration, self.control
+        else:
+            assert self.control != NO_CONTROL, self.request_again_at
         assert self.endpoint_list in (NO_LIST, self.list_floor), self.endpoint_list
         assert self.list_known_at is not None or self.list_floor == NO_LIST, self.list_floor
--- a/shedgrade/dataplane/state.py
+++ b/shedgrade/dataplane/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from zlib import crc32
 
-from shedgrade.configuration import parse
+from shedgrade.configuration import Service, parse
 from shedgrade.control_messages import (
     ControlChange,
     Endpoint,
@@ -12,6 +12,7 @@
     decompress_configuration,
 )
 from shedgrade.dataplane.fleet_size import FleetSize
+from shedgrade.dataplane.received_state import NO_CONFIGURATION
 from shedgrade.dataplane.routes import Routes
 from shedgrade.dataplane.service import ServicePool
 from shedgrade.model_routing.retry_budget import RetryBudget
@@ -52,9 +53,7 @@
         self.fleet_size, self.edge_count = FleetSize(), 1
 
     def apply(self, updates: Iterable[object]) -> None:
-        """Applies updates from the core in order. ValueError, TypeError or AttributeError if one can't be
-        used.
-        """
+        """Applies updates from the core in order. Any exception if one can't be applied."""
         for update in updates:
             match update:
                 case ControlChange():
@@ -98,10 +97,18 @@
             self.evacuated = evacuated
             self.update_services(self.services)
 
+    def version_in_force(self) -> int:
+        """The version of the configuration in force; NO_CONFIGURATION if there is none."""
+        return self.routes.version if self.routes is not None else NO_CONFIGURATION
+
     def apply_configuration(self, routes: Routes) -> None:
-        """Applies changed routes: adds new services and applies the settings of changed ones."""
-        before = self.routes.services if self.routes is not None else {}
+        """Applies changed routes, with new services and the settings of changed ones."""
+        self.apply_services(routes, self.routes.services if self.routes is not None else {})
         self.routes = routes
+        logger.info("configuration applied", version=routes.version, services=len(routes.services))
+
+    def apply_services(self, routes: Routes, before: dict[str, Service]) -> None:
+        """Adds new services, and applies the settings of those that differ from the ones `before`."""
         for name, service in routes.services.items():
             pool = self.services.get(name)
             if pool is None:
@@ -117,7 +124,6 @@
                 )
                 engine = service.inference_engine
                 pool.times.tokens_per_event = engine.stride if engine is not None else 1.0
-        logger.info("configuration applied", version=routes.version, services=len(routes.services))
 
     def apply_endpoint_list(self, change: EndpointUpdate) -> None:
         """Applies a complete endpoint list or a delta to the last one."""
@@ -166,9 +172,8 @@
             logger.warning("new regions ignored until restart", regions=", ".join(new_regions))
         for pool in self.services.values():
             pool.retry_budget.update_bounds(*self.retry_budget_bounds())
-        routes, self.routes = self.routes, None
-        if routes is not None:
-            self.apply_configuration(routes)  # applies the new bounds to every service
+        if self.routes is not None:
+            self.apply_services(self.routes, {})  # applies the new bounds to every service
         self.update_services(self.services)
 
     def retry_budget_bounds(self) -> tuple[float, float, int]:
--- a/tests/system/test_planes_together.py
+++ b/tests/system/test_planes_together.py
@@ -3,15 +3,12 @@
 import asyncio
 
 import orjson
-import pytest
-import uvloop
 from planes_rig import (
     CORES,
     EDGES,
     FULL_BODY,
     NET,
     configuration,
-    configured_system,
     front_address,
     running_system,
     wait_until,
@@ -20,21 +17,6 @@
 BOTH_FRONTS = {front_address(number) for number in EDGES}
 
 
-@pytest.fixture
-def run_scenario(tmp_path):
-    """Runs a scenario with the system, which is configured first unless `running_system` is given."""
-
-    def run(scenario, system_context=configured_system):
-        async def main():
-            async with asyncio.timeout(60), system_context(tmp_path) as system:
-                await scenario(system)
-
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(main())
-
-    return run
-
-
 def test_a_new_system_serves_streams_once_configured(run_scenario):
     async def scenario(system):
         await wait_until(lambda: system.primary() is not None)
