--- a/shedgrade/simulation/system/machine.py
+++ b/shedgrade/simulation/system/machine.py
@@ -137,6 +137,7 @@
     def run_program(self, loop: ProcessLoop) -> None:
         """Makes and starts the program; this is the first event of a process."""
         self.program = self.make_program(loop, self)
+        self.founding = False
         self.serving = loop.create_task(self.program.serve())
         self.serving.add_done_callback(lambda done: self.program_ended(loop, done))
 
