A fault in a request is one line in the log, with where it was raised

Cause: log_exception wrote the trace as a field, and the sidecar's text log would have spread it over many lines, where its page promises one line an event. Change: the line names the innermost frame; uncaught exceptions of the loop keep their trace, as before.

--- a/shedgrade/runtime/loop_errors.py
+++ b/shedgrade/runtime/loop_errors.py
@@ -1,7 +1,8 @@
-"""Logging of exceptions with their traces, among them those that nothing caught in the event loop."""
+"""Logging of exceptions, among them those that nothing caught in the event loop."""
 
 import asyncio
-from traceback import format_exception
+from pathlib import Path
+from traceback import extract_tb, format_exception
 from typing import Any
 
 from shedgrade.runtime.log import logger
@@ -9,12 +10,18 @@
 
 def log_uncaught(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """Logs an uncaught exception; the loop's exception handler, `context` as asyncio passes it to one."""
-    log_exception(
-        "uncaught exception in event loop", context.get("exception"), message=context.get("message")
+    failure = context.get("exception")
+    trace = "".join(format_exception(failure)) if failure is not None else ""
+    logger.error(
+        "uncaught exception in event loop",
+        message=context.get("message"),
+        error=repr(failure),
+        trace=trace,
     )
 
 
-def log_exception(event: str, failure: BaseException | None, **fields: object) -> None:
-    """Logs an error with the exception that caused it, its trace and further fields."""
-    trace = "".join(format_exception(failure)) if failure is not None else ""
-    logger.error(event, **fields, error=repr(failure), trace=trace)
+def log_exception(event: str, failure: BaseException | None) -> None:
+    """Logs an error in one line: the exception that caused it, and where that was raised."""
+    frames = extract_tb(failure.__traceback__) if failure is not None else None
+    place = f"{Path(frames[-1].filename).name}:{frames[-1].lineno} {frames[-1].name}" if frames else ""
+    logger.error(event, error=repr(failure), raised_at=place)
