A client that has sent half a request makes room for a further one

Callers would see: with all client connections in use, nobody idle and half a request on one, further clients are not accepted; the edge's log fills with AttributeError.

Cause: Front.make_room asked connections for unread(), which none defines; found by reading long ago and never run.

Change: has_unread_bytes of a client's connection, which idle uses too.

--- a/shedgrade/http/inbound_connection.py
+++ b/shedgrade/http/inbound_connection.py
@@ -88,9 +88,11 @@
         """Whether the connection is between two requests, with nothing unread in the kernel: closing it now
         loses no request.
         """
-        return not (
-            self.unanswered() or self.request_begun or self.incoming or unread_in_kernel(self.transport)
-        )
+        return not (self.unanswered() or self.request_begun or self.has_unread_bytes())
+
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of the client wait to be parsed, here or in the kernel."""
+        return bool(self.incoming) or unread_in_kernel(self.transport)
 
     def has_disconnected(self) -> bool:
         """Whether the client has disconnected, also if its FIN or reset is still unread in the kernel."""
--- a/shedgrade/upstream_pool/front.py
+++ b/shedgrade/upstream_pool/front.py
@@ -89,7 +89,7 @@
         if self.budget.full(len(self.accepting)) and self.pool.connections.close_oldest_idle():
             return True
         unused = next((one for one in self.clients if one.idle()), None) or next(
-            (one for one in self.clients if not one.unanswered() and not one.unread()), None
+            (one for one in self.clients if not one.unanswered() and not one.has_unread_bytes()), None
         )
         if unused is not None:
             self.closed(unused)
